Requests that a stopping instance could not finish are refused

Ruled out: the balancer: the requests came over connections that callers kept. Fewer connections would not help, a request may cross the answer that closes its connection.

Change: a request that comes more than 2.9 s after the signal is taken only if its deadline is over before the process ends. Others get 503, when to come back and the end of their connection; nothing of them has run. Requests that come before are finished as before.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
@@ -38,6 +38,7 @@
 import io.wagtailmux.engine.stage.StageOwner;
 import io.wagtailmux.engine.state.ServingState;
 import io.wagtailmux.engine.state.ServingView;
+import io.wagtailmux.engine.state.StopPlan;
 import io.wagtailmux.model.TimeSource;
 import io.wagtailmux.model.serving.ServingConfiguration;
 import io.wagtailmux.peer.wire.InstanceRecordMessage;
@@ -61,6 +62,12 @@
 	 */
 	private static final Duration BALANCER_TIME = Duration.ofMillis(3500);
 
+	/**
+	 * The balancer asks once a second; requests that come later than this after the stop
+	 * come over connections that callers kept.
+	 */
+	private static final Duration LAST_NEW_CONNECTIONS = Duration.ofMillis(2900);
+
 	private static final Duration STOP_CHECK_INTERVAL = Duration.ofMillis(100);
 
 	/** Kept between the last answer and the end that is forced from outside. */
@@ -170,6 +177,7 @@
 			this.ended = whenEnded;
 			this.stopRequested = this.time.elapsed();
 			LOG.atInfo().addKeyValue("busy", this.connections.busy()).log("stopping");
+			this.context.state().stopping(new StopPlan(this.stopRequested.plus(LAST_NEW_CONNECTIONS), forcedEnd()));
 			this.connections.leave();
 			this.control.leave();
 			checkStop();
@@ -214,12 +222,12 @@
 	}
 
 	private void checkStop() {
-		Duration passed = this.time.elapsed().minus(this.stopRequested);
-		boolean letGo = passed.compareTo(BALANCER_TIME) >= 0;
+		Duration now = this.time.elapsed();
+		boolean letGo = now.compareTo(this.stopRequested.plus(BALANCER_TIME)) >= 0;
 		if (letGo) {
 			this.connections.closeIdle();
 		}
-		boolean over = passed.compareTo(this.settings.grace().minus(GRACE_MARGIN)) >= 0;
+		boolean over = now.compareTo(forcedEnd()) >= 0;
 		if (over || (letGo && this.connections.busy() == 0)) {
 			LOG.atInfo().addKeyValue("busy", this.connections.busy()).log("stopped");
 			this.controlThread.schedule(this.ended, STOP_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
@@ -228,4 +236,8 @@
 		this.traffic.schedule(this::checkStop, STOP_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
+	private Duration forcedEnd() {
+		return this.stopRequested.plus(this.settings.grace()).minus(GRACE_MARGIN);
+	}
+
 }
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
@@ -200,6 +200,13 @@
 			allowed = this.route.timing().timeout();
 		}
 		this.deadline = this.received.plus(allowed);
+		if (this.context.state()
+			.stopPlan()
+			.filter((plan) -> plan.endsBefore(this.received, this.deadline))
+			.isPresent()) {
+			reject(RejectionCode.STOPPING, "this instance ends before the deadline");
+			return;
+		}
 		this.stream = new AnswerStream(this.context, this.sink);
 		int hash = this.request.attempt().value().hashCode();
 		Optional<PoolTraffic> found = this.context.state().pool(this.route.choosePool(hash).pool());
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/RejectionCode.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/RejectionCode.java
@@ -10,6 +10,9 @@
 	/** No configuration is known yet. */
 	NOT_READY(503, true),
 
+	/** This instance ends before the request's deadline; others go on. */
+	STOPPING(503, true),
+
 	/** The request cannot be read, or its framing is ambiguous. */
 	MALFORMED_REQUEST(400, false),
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/ServingState.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/ServingState.java
@@ -34,6 +34,8 @@
 
 	private ServingView view = ServingView.EMPTY;
 
+	private Optional<StopPlan> stopPlan = Optional.empty();
+
 	/**
 	 * Creates the state of an instance that knows nothing yet.
 	 * @param self this instance
@@ -75,6 +77,22 @@
 		return this.view;
 	}
 
+	/**
+	 * Takes note that this instance was told to stop.
+	 * @param plan when it stops
+	 */
+	public void stopping(StopPlan plan) {
+		this.stopPlan = Optional.of(plan);
+	}
+
+	/**
+	 * Returns when this instance stops.
+	 * @return the plan; nothing if it was not told to stop
+	 */
+	public Optional<StopPlan> stopPlan() {
+		return this.stopPlan;
+	}
+
 	/**
 	 * Finds the availability zone of an address.
 	 * @param address where an endpoint listens
--- /dev/null
+++ b/wagtailmux-engine/src/test/java/io/wagtailmux/engine/state/StopPlanTests.java
@@ -0,0 +1,24 @@
+package io.wagtailmux.engine.state;
+
+import java.time.Duration;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Which requests an instance still takes while it stops.
+ */
+class StopPlanTests {
+
+	private final StopPlan plan = new StopPlan(Duration.ofMillis(103_000), Duration.ofMillis(107_300));
+
+	@ParameterizedTest(name = "received at {0} ms with a deadline at {1} ms")
+	@CsvSource({ "100500, 101000, false", "100500, 120000, false", "102999, 120000, false", "103000, 107300, false",
+			"103000, 107301, true", "106000, 106600, false", "106000, 112000, true", "107200, 107900, true" })
+	void onlyLateRequestsThatMayOutlastTheProcessAreRefused(long received, long deadline, boolean refused) {
+		assertThat(this.plan.endsBefore(Duration.ofMillis(received), Duration.ofMillis(deadline))).isEqualTo(refused);
+	}
+
+}
