Moves to another version are tried, stopped or completed

Cause: an order to move a pool's requests to another version had no effect: the version got nothing and no verdict was written, so sound versions never came and the operator heard nothing of bad ones.

Ruled out: an agreed count of exposed requests (each instance keeps to the share with its own requests); a lease for whoever writes the verdict (each write names the version of the row that it replaces); a ramp to full traffic in the middle of the time: a fault that shows late would then reach more than the allowed part.

Change: decision.rollout (plan, evidence, judgement; no input or output) and RolloutControl. Answers to pings carry what each instance saw. A request that failed at the new version goes on at the old one. Stage pools get the new version only in the last moments, without evidence before; that is left open in docs/design/platform.md. FactsTests' case that an ordered version gets nothing is replaced by RolloutTests: its share is bounded until the verdict, a stopped version gets nothing at all any more, also when it is alone.

--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/limit/SlotMap.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/limit/SlotMap.java
@@ -1,12 +1,10 @@
 package io.wagtailmux.decision.limit;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.Set;
 import java.util.stream.IntStream;
 
-import org.apache.commons.codec.digest.MurmurHash3;
-
+import io.wagtailmux.decision.RendezvousHash;
 import io.wagtailmux.model.Contract;
 import io.wagtailmux.model.EndpointId;
 
@@ -32,7 +30,7 @@
 	public int limiterSlot(EndpointId endpoint) {
 		return IntStream.range(0, this.slots)
 			.boxed()
-			.max(Comparator.comparingInt((slot) -> hash(endpoint, slot)))
+			.max(Comparator.comparingInt((slot) -> RendezvousHash.of(endpoint, slot)))
 			.orElseThrow();
 	}
 
@@ -59,7 +57,7 @@
 		int each = units / this.slots;
 		int[] order = IntStream.range(0, this.slots)
 			.boxed()
-			.sorted(Comparator.comparingInt((Integer slot) -> hash(endpoint, slot)))
+			.sorted(Comparator.comparingInt((Integer slot) -> RendezvousHash.of(endpoint, slot)))
 			.mapToInt(Integer::intValue)
 			.toArray();
 		int floor = each * held.size();
@@ -69,8 +67,4 @@
 		return floor;
 	}
 
-	private static int hash(EndpointId endpoint, int slot) {
-		return MurmurHash3.hash32x86((endpoint + "#" + slot).getBytes(StandardCharsets.UTF_8));
-	}
-
 }
--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/placement/EnginePlacement.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/placement/EnginePlacement.java
@@ -1,14 +1,12 @@
 package io.wagtailmux.decision.placement;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
-import org.apache.commons.codec.digest.MurmurHash3;
-
+import io.wagtailmux.decision.RendezvousHash;
 import io.wagtailmux.model.AvailabilityZoneId;
 import io.wagtailmux.model.EndpointId;
 import io.wagtailmux.model.serving.Generation;
@@ -91,7 +89,8 @@
 			.toList();
 		List<EndpointLoad> among = near.isEmpty() ? engines : near;
 		return generation.lastSharedPart()
-			.flatMap((part) -> among.stream().max(Comparator.comparingInt((engine) -> hash(part, engine.id()))));
+			.flatMap((part) -> among.stream()
+				.max(Comparator.comparingInt((engine) -> RendezvousHash.of(part.id(), engine.id()))));
 	}
 
 	private static Duration transfer(EndpointLoad engine, InputBytes inputs) {
@@ -126,8 +125,4 @@
 		return Math.max(0, generation.promptTokens() - shared);
 	}
 
-	private static int hash(PromptPart part, EndpointId engine) {
-		return MurmurHash3.hash32x86((part.id() + "#" + engine).getBytes(StandardCharsets.UTF_8));
-	}
-
 }
--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/placement/HomeZone.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/placement/HomeZone.java
@@ -1,12 +1,10 @@
 package io.wagtailmux.decision.placement;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
 
-import org.apache.commons.codec.digest.MurmurHash3;
-
+import io.wagtailmux.decision.RendezvousHash;
 import io.wagtailmux.model.AvailabilityZoneId;
 import io.wagtailmux.model.serving.Generation;
 
@@ -41,9 +39,7 @@
 	}
 
 	private static double score(String part, AvailabilityZoneId zone, int weight) {
-		int hash = MurmurHash3.hash32x86((part + "#" + zone).getBytes(StandardCharsets.UTF_8));
-		double uniform = ((hash & 0xffffffffL) + 0.5) / (1L << 32);
-		return -weight / Math.log(uniform);
+		return -weight / Math.log(RendezvousHash.fraction(part, zone));
 	}
 
 }
--- /dev/null
+++ b/wagtailmux-decision/src/test/java/io/wagtailmux/decision/rollout/RolloutDecisionTests.java
@@ -0,0 +1,112 @@
+package io.wagtailmux.decision.rollout;
+
+import java.time.Duration;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Moves to another version: how much a bad one gets, and when it is found out.
+ */
+class RolloutDecisionTests {
+
+	private static final Duration USUAL = Duration.ofMillis(40);
+
+	@ParameterizedTest(name = "a part of {0} in {1} s")
+	@CsvSource({ "0.1, 20", "0.1, 6", "0.05, 60", "0.3, 12" })
+	void aVersionThatIsNeverFoundOutStaysBelowTheAllowedPartUntilTheDeadline(double part, int seconds) {
+		RolloutPlan plan = new RolloutPlan(part, Duration.ofSeconds(seconds));
+		int steps = seconds * 1000;
+		double got = 0;
+		for (int step = 0; step < steps; step++) {
+			got += plan.moves(Duration.ofMillis(step)) ? 1 : plan.trialShare();
+		}
+		assertThat(got / steps).isLessThanOrEqualTo(part);
+		assertThat(plan.completes(Duration.ofSeconds(seconds))).isTrue();
+	}
+
+	@ParameterizedTest
+	@ValueSource(doubles = { 0.1, 0.05, 0.3 })
+	void aVersionIsTriedThenMovedToThenComplete(double part) {
+		RolloutPlan plan = new RolloutPlan(part, Duration.ofSeconds(10));
+		assertThat(plan.trialShare()).isPositive();
+		assertThat(plan.moves(Duration.ofSeconds(5))).isFalse();
+		Duration moved = Duration.ZERO;
+		while (!plan.moves(moved)) {
+			moved = moved.plusMillis(1);
+		}
+		assertThat(plan.completes(moved)).isFalse();
+	}
+
+	@ParameterizedTest(name = "{0} bad of {1}, others {2} of {3}")
+	@CsvSource({ "0, 0, 0, 0, false", "3, 10, 0, 100, false", "6, 20, 0, 400, true", "20, 50, 0, 1000, true",
+			"6, 200, 5, 1000, false", "12, 200, 2, 1000, true", "10, 100, 100, 1000, false",
+			"40, 100, 100, 1000, true" })
+	void aVersionIsBadIfItsBadAnswersAreMoreThanChance(long bad, long all, long othersBad, long othersAll,
+			boolean expected) {
+		VersionCounts tried = new VersionCounts(all - bad, bad);
+		VersionCounts others = new VersionCounts(othersAll - othersBad, othersBad);
+		assertThat(VersionJudgement.isBad(tried, others)).isEqualTo(expected);
+	}
+
+	@ParameterizedTest(name = "seed {0}")
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12 })
+	void aSoundVersionIsNotFoundBadByChance(long seed) {
+		SplittableRandom random = new SplittableRandom(seed);
+		VersionCounts tried = VersionCounts.NONE;
+		VersionCounts others = VersionCounts.NONE;
+		for (int answer = 0; answer < 4000; answer++) {
+			boolean good = random.nextDouble() >= 0.02;
+			if (random.nextInt(20) == 0) {
+				tried = tried.with(good);
+			}
+			else {
+				others = others.with(good);
+			}
+			assertThat(VersionJudgement.isBad(tried, others)).isFalse();
+		}
+	}
+
+	@ParameterizedTest(name = "seed {0}")
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12 })
+	void aVersionThatIsSlowOnOneRouteOnlyIsFoundBeforeFiftyBadAnswers(long seed) {
+		SplittableRandom random = new SplittableRandom(seed);
+		VersionEvidence evidence = new VersionEvidence();
+		for (int answer = 0; answer < 400; answer++) {
+			evidence.answered(false, route(random), true, spread(USUAL, random));
+		}
+		while (!VersionJudgement.isBad(evidence.tried(), evidence.others())) {
+			String route = route(random);
+			Duration usual = route.equals("slow") ? USUAL.multipliedBy(5) : USUAL;
+			evidence.answered(true, route, true, spread(usual, random));
+			assertThat(evidence.tried().bad()).isLessThan(50);
+		}
+	}
+
+	@Test
+	void callsThatAreGivenUpCountOnlyIfTheyLastedTooLong() {
+		VersionEvidence evidence = new VersionEvidence();
+		evidence.abandoned(true, "read", Duration.ofSeconds(9));
+		for (int answer = 0; answer < 10; answer++) {
+			evidence.answered(false, "read", true, USUAL);
+		}
+		evidence.abandoned(true, "read", USUAL);
+		assertThat(evidence.tried()).isEqualTo(VersionCounts.NONE);
+		evidence.abandoned(true, "read", Duration.ofSeconds(9));
+		assertThat(evidence.tried()).isEqualTo(new VersionCounts(0, 1));
+	}
+
+	private static String route(SplittableRandom random) {
+		return (random.nextInt(8) == 0) ? "slow" : "quick";
+	}
+
+	private static Duration spread(Duration usual, SplittableRandom random) {
+		return Duration.ofNanos((long) (usual.toNanos() * (0.7 + 0.6 * random.nextDouble())));
+	}
+
+}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
@@ -31,6 +31,7 @@
 import io.wagtailmux.engine.http.HttpClient;
 import io.wagtailmux.engine.peer.PeerHandler;
 import io.wagtailmux.engine.peer.PieceRouter;
+import io.wagtailmux.engine.peer.TrialMessages;
 import io.wagtailmux.engine.port.CallerProtocol;
 import io.wagtailmux.engine.port.EndpointProtocol;
 import io.wagtailmux.engine.port.FactCodec;
@@ -39,6 +40,7 @@
 import io.wagtailmux.engine.state.ServingState;
 import io.wagtailmux.engine.state.ServingView;
 import io.wagtailmux.engine.state.StopPlan;
+import io.wagtailmux.engine.state.TrialReport;
 import io.wagtailmux.model.TimeSource;
 import io.wagtailmux.model.serving.ServingConfiguration;
 import io.wagtailmux.peer.wire.InstanceRecordMessage;
@@ -129,7 +131,9 @@
 		this.self = new InstanceRecordMessage(settings.instance().value(), settings.peers().getHostString(),
 				settings.peers().getPort(), settings.zone().value(), this.time.instant().toEpochMilli());
 		this.control = new ServingControl(this.self, facts, store.apply(client), client, this.controlThread, this.time,
-				(view) -> this.traffic.execute(() -> take(view)));
+				(view) -> this.traffic.execute(() -> take(view)),
+				(taker) -> this.traffic.execute(() -> taker.accept(state.trialReports())),
+				settings.limits().exposureShare());
 	}
 
 	/**
@@ -210,7 +214,9 @@
 
 	private PingMessage describe() {
 		long version = this.context.state().view().configuration().map(ServingConfiguration::version).orElse(0L);
-		return new PingMessage(this.self, version, this.leaving);
+		PingMessage description = new PingMessage(this.self, version, this.leaving);
+		List<TrialReport> trials = this.context.state().trialReports();
+		return trials.isEmpty() ? description : description.setTrials(TrialMessages.messages(trials));
 	}
 
 	private void take(ServingView view) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Membership.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Membership.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.handler.codec.http.HttpMethod;
 import org.slf4j.Logger;
@@ -83,6 +84,8 @@
 
 	private final Runnable changed;
 
+	private final Consumer<PingMessage> heard;
+
 	private final Map<String, KnownInstance> known = new HashMap<>();
 
 	private Set<InstancePeer> published = Set.of();
@@ -103,15 +106,17 @@
 	 * @param control the control thread
 	 * @param time the clock
 	 * @param changed hears when other instances came or went
+	 * @param heard takes what other instances answer, on the control thread
 	 */
 	Membership(InstanceRecordMessage self, RowStore store, HttpClient client, ScheduledExecutorService control,
-			TimeSource time, Runnable changed) {
+			TimeSource time, Runnable changed, Consumer<PingMessage> heard) {
 		this.self = self;
 		this.store = store;
 		this.client = client;
 		this.control = control;
 		this.time = time;
 		this.changed = changed;
+		this.heard = heard;
 	}
 
 	void start() {
@@ -258,6 +263,7 @@
 		if (answer.getSender().getInstance().equals(instance.record.getInstance())) {
 			instance.answeredAt = this.time.elapsed();
 			instance.leaving = answer.isLeaving();
+			this.heard.accept(answer);
 			publishIfChanged();
 		}
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/OperatorFacts.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/OperatorFacts.java
@@ -37,6 +37,8 @@
 
 	private final Map<String, OperatorFact> facts = new HashMap<>();
 
+	private final Map<String, Long> versions = new HashMap<>();
+
 	private Optional<ServingConfiguration> configuration = Optional.empty();
 
 	OperatorFacts(FactCodec codec, RowStore store, ScheduledExecutorService control, TimeSource time,
@@ -62,11 +64,15 @@
 			.collect(Collectors.toSet());
 	}
 
-	Map<String, OperatorFact.Rollout> rollouts() {
-		Map<String, OperatorFact.Rollout> rollouts = new HashMap<>();
+	/**
+	 * Returns the moves to other versions that were ordered.
+	 * @return the orders by the versions of their rows
+	 */
+	Map<Long, OperatorFact.Rollout> rollouts() {
+		Map<Long, OperatorFact.Rollout> rollouts = new HashMap<>();
 		this.facts.forEach((key, fact) -> {
 			if (fact instanceof OperatorFact.Rollout rollout) {
-				rollouts.put(key, rollout);
+				rollouts.put(this.versions.get(key), rollout);
 			}
 		});
 		return rollouts;
@@ -81,6 +87,7 @@
 			}
 			else {
 				this.facts.put(row.key(), fact);
+				this.versions.put(row.key(), row.version());
 				LOG.atInfo()
 					.addKeyValue("key", row.key())
 					.addKeyValue("version", row.version())
@@ -99,6 +106,7 @@
 
 	@Override
 	public void removed(String key, long version) {
+		this.versions.remove(key);
 		if (this.facts.remove(key) != null) {
 			LOG.atInfo().addKeyValue("key", key).addKeyValue("version", version).log("operator's order ended");
 			this.changed.run();
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/ServingControl.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/ServingControl.java
@@ -3,17 +3,15 @@
 import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 
 import io.wagtailmux.engine.http.HttpClient;
 import io.wagtailmux.engine.port.FactCodec;
-import io.wagtailmux.engine.port.OperatorFact;
 import io.wagtailmux.engine.port.RowStore;
 import io.wagtailmux.engine.state.ServingView;
-import io.wagtailmux.engine.state.VersionTrial;
-import io.wagtailmux.model.PoolId;
+import io.wagtailmux.model.InstanceId;
 import io.wagtailmux.model.TimeSource;
 import io.wagtailmux.peer.wire.InstanceRecordMessage;
+import io.wagtailmux.peer.wire.PingMessage;
 
 /**
  * Owns all control state and publishes a view of it for traffic after each change.
@@ -31,6 +29,8 @@
 
 	private final Membership membership;
 
+	private final RolloutControl rollouts;
+
 	private final Consumer<ServingView> traffic;
 
 	private boolean publishScheduled;
@@ -44,14 +44,19 @@
 	 * @param control the control thread
 	 * @param time the clock
 	 * @param traffic takes each new view, called on the control thread
+	 * @param trials tells what traffic saw of versions under trial
+	 * @param exposureShare the part of a pool's requests that a bad version may get
 	 */
 	public ServingControl(InstanceRecordMessage self, FactCodec codec, RowStore store, HttpClient client,
-			ScheduledExecutorService control, TimeSource time, Consumer<ServingView> traffic) {
+			ScheduledExecutorService control, TimeSource time, Consumer<ServingView> traffic, TrialSource trials,
+			double exposureShare) {
 		this.control = control;
 		this.traffic = traffic;
 		this.registry = new EndpointRegistry(codec, store, control, time, this::schedulePublish);
 		this.operator = new OperatorFacts(codec, store, control, time, this::schedulePublish);
-		this.membership = new Membership(self, store, client, control, time, this::schedulePublish);
+		this.membership = new Membership(self, store, client, control, time, this::schedulePublish, this::heard);
+		this.rollouts = new RolloutControl(new InstanceId(self.getInstance()), codec, store, this.operator,
+				this.membership, trials, exposureShare, control, time, this::schedulePublish);
 	}
 
 	/**
@@ -62,6 +67,7 @@
 			this.operator.start();
 			this.registry.start();
 			this.membership.start();
+			this.rollouts.start();
 		});
 	}
 
@@ -72,6 +78,10 @@
 		this.control.execute(this.membership::leave);
 	}
 
+	private void heard(PingMessage answer) {
+		this.rollouts.heard(answer);
+	}
+
 	private void schedulePublish() {
 		if (!this.publishScheduled) {
 			this.publishScheduled = true;
@@ -85,20 +95,8 @@
 			return;
 		}
 		this.traffic.accept(new ServingView(this.operator.configuration(), Map.copyOf(this.registry.endpoints()),
-				this.operator.evacuated(), trials(), this.membership.alive(), this.membership.possiblyAlive()));
-	}
-
-	/**
-	 * A version whose move was ordered gets nothing while others serve: nothing here
-	 * gives proof yet that it is good.
-	 * @return the trials
-	 */
-	private Map<PoolId, VersionTrial> trials() {
-		return this.operator.rollouts()
-			.values()
-			.stream()
-			.collect(Collectors.toMap(OperatorFact.Rollout::pool, (order) -> new VersionTrial(order.version(), 0),
-					(first, second) -> second));
+				this.operator.evacuated(), this.rollouts.trials(), this.membership.alive(),
+				this.membership.possiblyAlive()));
 	}
 
 }
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
@@ -256,6 +256,13 @@
 		return new ChainStep(stage.after(), this.context.pieces().expectedWait(stage.pool()), work);
 	}
 
+	/**
+	 * Has a request that failed once go on at a version that is known to be good.
+	 */
+	private void leaveTrial() {
+		this.trial &= this.pool.trialShare() >= 1;
+	}
+
 	private void runStages(ChainPlan plan) {
 		if (this.route.stages().isEmpty()) {
 			forward();
@@ -347,6 +354,7 @@
 	void callFailed(ForwardCall call, String outcome, boolean notRun) {
 		this.current = Optional.empty();
 		this.mayHaveRun |= !notRun;
+		leaveTrial();
 		boolean again = mayRepeat(notRun) && this.pool.repeats().take(now());
 		this.context.log()
 			.callFailed(this.request.attempt(), call.endpoint().entry().id(), outcome, again ? "next" : "give up");
@@ -398,6 +406,7 @@
 	}
 
 	private boolean takeRepeat() {
+		leaveTrial();
 		boolean elsewhere = this.pool.candidates(this.trial, now())
 			.stream()
 			.anyMatch((candidate) -> !this.tried.contains(candidate.id()));
@@ -509,6 +518,10 @@
 		return this.route;
 	}
 
+	PoolTraffic pool() {
+		return this.pool;
+	}
+
 	Duration left() {
 		return this.deadline.minus(now());
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
@@ -110,6 +110,7 @@
 	void cancel() {
 		if (!this.over && this.call != null) {
 			settle();
+			abandoned();
 			this.body.release();
 			this.call.cancel();
 		}
@@ -160,7 +161,7 @@
 			broke("answer without proof or with another encoding, status " + this.answer.status());
 			return;
 		}
-		load().answered(!failed, now().minus(this.started), now());
+		judge(!failed);
 		if (this.exchange.streaming() && this.answer.success()) {
 			endStream();
 			return;
@@ -189,7 +190,7 @@
 		if (!this.heardFirstByte && this.exchange.stream().begun()) {
 			this.heardFirstByte = true;
 			promptRead();
-			load().answered(true, now().minus(this.started), now());
+			judge(true);
 			load().promptCache().add(this.exchange.request().generation().parts());
 		}
 		if (first) {
@@ -219,7 +220,7 @@
 	}
 
 	private void broke(String outcome) {
-		load().answered(false, now().minus(this.started), now());
+		judge(false);
 		this.body.release();
 		this.exchange.callFailed(this, outcome, false);
 	}
@@ -262,6 +263,22 @@
 		return (patience.compareTo(LEAST_PATIENCE) > 0) ? patience : LEAST_PATIENCE;
 	}
 
+	/**
+	 * Takes note of an answer in what is known of the endpoint and of its version.
+	 * @param success whether it was no failure
+	 */
+	private void judge(boolean success) {
+		Duration took = now().minus(this.started);
+		load().answered(success, took, now());
+		this.exchange.pool().answered(this.endpoint, this.exchange.route().name(), success, took);
+	}
+
+	private void abandoned() {
+		if (!this.heardFirstByte) {
+			this.exchange.pool().abandoned(this.endpoint, this.exchange.route().name(), now().minus(this.started));
+		}
+	}
+
 	private void settle() {
 		this.over = true;
 		stopPatience();
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PieceRouter.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PieceRouter.java
@@ -1,6 +1,5 @@
 package io.wagtailmux.engine.peer;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,8 +11,8 @@
 import java.util.function.Consumer;
 
 import io.netty.handler.codec.http.HttpMethod;
-import org.apache.commons.codec.digest.MurmurHash3;
 
+import io.wagtailmux.decision.RendezvousHash;
 import io.wagtailmux.engine.EngineContext;
 import io.wagtailmux.engine.http.ClientCall;
 import io.wagtailmux.engine.http.HttpDestination;
@@ -108,10 +107,10 @@
 	}
 
 	private Optional<InstancePeer> owner(PoolId pool) {
-		int best = hash(pool, this.context.state().self());
+		int best = RendezvousHash.of(pool, this.context.state().self());
 		InstancePeer owner = null;
 		for (InstancePeer peer : this.context.state().view().peers()) {
-			int hash = hash(pool, peer.id());
+			int hash = RendezvousHash.of(pool, peer.id());
 			if (hash > best) {
 				best = hash;
 				owner = peer;
@@ -129,10 +128,6 @@
 		return known;
 	}
 
-	private static int hash(PoolId pool, InstanceId instance) {
-		return MurmurHash3.hash32x86((pool + "#" + instance).getBytes(StandardCharsets.UTF_8));
-	}
-
 	/**
 	 * A group of pieces that is asked of the pool's owner, whoever that is.
 	 */
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/port/FactCodec.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/port/FactCodec.java
@@ -1,5 +1,6 @@
 package io.wagtailmux.engine.port;
 
+import io.wagtailmux.model.PoolId;
 import io.wagtailmux.model.serving.RegisteredEndpoint;
 
 /**
@@ -21,6 +22,34 @@
 	 */
 	String operatorTable();
 
+	/**
+	 * Names the table of what the operator is told.
+	 * @return the table
+	 */
+	String statusTable();
+
+	/**
+	 * Names the row that tells of a pool's move to another version.
+	 * @param pool the pool
+	 * @return the row's key
+	 */
+	String rolloutStatusKey(PoolId pool);
+
+	/**
+	 * Reads what the operator was told of a move.
+	 * @param row the row
+	 * @return the status
+	 * @throws ProtocolException if the row cannot be read
+	 */
+	RolloutStatus rolloutStatus(StoredRow row);
+
+	/**
+	 * Encodes what the operator is told of a move.
+	 * @param status the status
+	 * @return the row's value
+	 */
+	byte[] encode(RolloutStatus status);
+
 	/**
 	 * Reads an endpoint's entry.
 	 * @param row the row
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
@@ -118,9 +118,8 @@
 	}
 
 	private Map<EndpointId, AvailabilityZoneId> usableEndpoints() {
-		return this.traffic.endpoints()
+		return this.traffic.pieceEndpoints()
 			.stream()
-			.filter(LiveEndpoint::usable)
 			.collect(Collectors.toMap((endpoint) -> endpoint.entry().id(), (endpoint) -> endpoint.entry().zone()));
 	}
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/PoolTraffic.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/PoolTraffic.java
@@ -1,6 +1,5 @@
 package io.wagtailmux.engine.state;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
@@ -8,12 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
 import java.util.stream.Stream;
 
-import org.apache.commons.codec.digest.MurmurHash3;
-
+import io.wagtailmux.decision.RendezvousHash;
 import io.wagtailmux.decision.placement.EndpointLoad;
+import io.wagtailmux.decision.rollout.VersionEvidence;
 import io.wagtailmux.decision.share.ColdShare;
 import io.wagtailmux.decision.share.RepeatShare;
 import io.wagtailmux.model.AvailabilityZoneId;
@@ -31,8 +29,6 @@
  */
 public final class PoolTraffic {
 
-	private static final long UNSIGNED = 0xffffffffL;
-
 	private static final Duration EXPECTED_SERVICE_TIME = Duration.ofMillis(25);
 
 	private final SharedLimits limits;
@@ -47,6 +43,10 @@
 
 	private ServingView view = ServingView.EMPTY;
 
+	private Optional<VersionTrial> trial = Optional.empty();
+
+	private VersionEvidence evidence = new VersionEvidence();
+
 	PoolTraffic(InstanceId self, SharedLimits limits, ServingPool pool) {
 		this.self = self;
 		this.limits = limits;
@@ -89,17 +89,23 @@
 
 	/**
 	 * Returns the endpoints that may get a request now.
-	 * @param tried whether to take an endpoint of the version under trial; if there is
-	 * none of the kind, the others are returned
+	 * @param newVersion whether the request belongs to the part that goes to the version
+	 * under trial
 	 * @param now the elapsed time
 	 * @return the loads of usable endpoints that are warm or have a cold request left
 	 */
-	public List<EndpointLoad> candidates(boolean tried, Duration now) {
-		Optional<VersionTrial> trial = Optional.ofNullable(this.view.trials().get(this.pool.id()));
-		Predicate<LiveEndpoint> version = (endpoint) -> trial.isEmpty()
-				|| endpoint.entry().version().equals(trial.get().version()) == tried;
-		List<EndpointLoad> chosen = usable(now).filter(version).map(LiveEndpoint::load).toList();
-		return chosen.isEmpty() ? usable(now).map(LiveEndpoint::load).toList() : chosen;
+	public List<EndpointLoad> candidates(boolean newVersion, Duration now) {
+		return ofVersion(newVersion, usable(now).toList()).stream().map(LiveEndpoint::load).toList();
+	}
+
+	/**
+	 * Returns the endpoints that may get calls with pieces. A version under trial gets
+	 * none before its move: one call is many requests.
+	 * @return the usable endpoints
+	 */
+	public List<LiveEndpoint> pieceEndpoints() {
+		boolean newVersion = this.trial.map((found) -> found.phase().preferred()).orElse(false);
+		return ofVersion(newVersion, this.endpoints.values().stream().filter(LiveEndpoint::usable).toList());
 	}
 
 	/**
@@ -120,8 +126,39 @@
 	 * @return the share, zero if there is none
 	 */
 	public double trialShare() {
-		VersionTrial trial = this.view.trials().get(this.pool.id());
-		return (trial != null) ? trial.share() : 0;
+		return this.trial.map(VersionTrial::share).orElse(0.0);
+	}
+
+	/**
+	 * Takes note of an answer, for the trial of a version.
+	 * @param endpoint the endpoint that gave it
+	 * @param route the name of the request's route
+	 * @param success whether it was no failure
+	 * @param took the time to the answer, or to a stream's first event
+	 */
+	public void answered(LiveEndpoint endpoint, String route, boolean success, Duration took) {
+		this.trial.ifPresent((found) -> this.evidence.answered(isOf(found, endpoint), route, success, took));
+	}
+
+	/**
+	 * Takes note of a call that was given up without an answer, for the trial of a
+	 * version.
+	 * @param endpoint the endpoint that was called
+	 * @param route the name of the request's route
+	 * @param lasted the time that it was waited for
+	 */
+	public void abandoned(LiveEndpoint endpoint, String route, Duration lasted) {
+		this.trial.ifPresent((found) -> this.evidence.abandoned(isOf(found, endpoint), route, lasted));
+	}
+
+	/**
+	 * Returns what this instance saw of a version under trial.
+	 * @param now the elapsed time
+	 * @return the report, if there is a trial
+	 */
+	Optional<TrialReport> trialReport(Duration now) {
+		return this.trial.map((found) -> new TrialReport(this.pool.id(), found.order(), now.minus(found.orderedAt()),
+				found.phase() == TrialPhase.STOPPED, this.evidence.tried(), this.evidence.others()));
 	}
 
 	/**
@@ -138,6 +175,7 @@
 	void update(ServingPool next, Collection<RegisteredEndpoint> entries, ServingView nextView, Duration now) {
 		this.pool = next;
 		this.view = nextView;
+		takeTrial(Optional.ofNullable(nextView.trials().get(next.id())));
 		this.repeats.fixedNumber(this.limits.repeatSlack(), instances());
 		Map<EndpointId, LiveEndpoint> before = Map.copyOf(this.endpoints);
 		this.endpoints.clear();
@@ -156,6 +194,38 @@
 		});
 	}
 
+	private void takeTrial(Optional<VersionTrial> next) {
+		boolean sameOrder = next.map(VersionTrial::order).equals(this.trial.map(VersionTrial::order));
+		if (!sameOrder) {
+			this.evidence = new VersionEvidence();
+		}
+		this.trial = next;
+	}
+
+	/**
+	 * Narrows endpoints down to those of the versions that a request may go to.
+	 * @param newVersion whether it goes to the version under trial
+	 * @param usable the endpoints to choose from
+	 * @return those of its version; if there is none, those of the others, unless that
+	 * would give the version under trial more than its part
+	 */
+	private List<LiveEndpoint> ofVersion(boolean newVersion, List<LiveEndpoint> usable) {
+		if (this.trial.isEmpty()) {
+			return usable;
+		}
+		VersionTrial current = this.trial.get();
+		List<LiveEndpoint> chosen = usable.stream().filter((each) -> isOf(current, each) == newVersion).toList();
+		boolean othersStand = this.endpoints.values()
+			.stream()
+			.anyMatch((each) -> !isOf(current, each) && !each.entry().leaving());
+		boolean overShare = !newVersion && (othersStand || !current.phase().usableAlone());
+		return (!chosen.isEmpty() || overShare) ? chosen : usable;
+	}
+
+	private static boolean isOf(VersionTrial trial, LiveEndpoint endpoint) {
+		return endpoint.entry().version().equals(trial.version());
+	}
+
 	private Stream<LiveEndpoint> usable(Duration now) {
 		return this.endpoints.values()
 			.stream()
@@ -188,20 +258,16 @@
 	}
 
 	private int rank(LiveEndpoint endpoint) {
-		int own = hash(endpoint.entry().id(), this.self);
+		int own = RendezvousHash.of(endpoint.entry().id(), this.self);
 		return (int) this.view.peers()
 			.stream()
 			.map(InstancePeer::id)
-			.filter((peer) -> hash(endpoint.entry().id(), peer) > own)
+			.filter((peer) -> RendezvousHash.of(endpoint.entry().id(), peer) > own)
 			.count();
 	}
 
 	private double phase(EndpointId endpoint) {
-		return (hash(endpoint, this.self) & UNSIGNED) / (double) (UNSIGNED + 1);
-	}
-
-	private static int hash(EndpointId endpoint, InstanceId instance) {
-		return MurmurHash3.hash32x86((endpoint + "#" + instance).getBytes(StandardCharsets.UTF_8));
+		return RendezvousHash.fraction(endpoint, this.self);
 	}
 
 }
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/ServingState.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/ServingState.java
@@ -119,6 +119,15 @@
 		return Optional.ofNullable(this.pools.get(pool));
 	}
 
+	/**
+	 * Returns what this instance saw of versions under trial.
+	 * @return a report for each trial
+	 */
+	public List<TrialReport> trialReports() {
+		Duration now = this.time.elapsed();
+		return this.pools.values().stream().flatMap((pool) -> pool.trialReport(now).stream()).toList();
+	}
+
 	/**
 	 * Returns the traffic to all pools.
 	 * @return the pools
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/SharedLimits.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/SharedLimits.java
@@ -10,9 +10,10 @@
  * @param repeatSlack further repeats of a pool in each window
  * @param coldFactor by how much a cold endpoint's rate may be exceeded
  * @param coldSlack further requests a second at a cold endpoint
+ * @param exposureShare the part of a pool's requests that a bad version may get
  * @author the wagtailmux developers
  */
 public record SharedLimits(double repeatRatio, Duration repeatWindow, double repeatSlack, double coldFactor,
-		double coldSlack) {
+		double coldSlack, double exposureShare) {
 
 }
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/PingMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/PingMessage.java
@@ -13,6 +13,7 @@
   private static final org.apache.thrift.protocol.TField SENDER_FIELD_DESC = new org.apache.thrift.protocol.TField("sender", org.apache.thrift.protocol.TType.STRUCT, (short)1);
   private static final org.apache.thrift.protocol.TField CONFIGURATION_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("configurationVersion", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.BOOL, (short)3);
+  private static final org.apache.thrift.protocol.TField TRIALS_FIELD_DESC = new org.apache.thrift.protocol.TField("trials", org.apache.thrift.protocol.TType.LIST, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PingMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PingMessageTupleSchemeFactory();
@@ -20,12 +21,14 @@
   public @org.apache.thrift.annotation.Nullable InstanceRecordMessage sender; // required
   public long configurationVersion; // required
   public boolean leaving; // required
+  public @org.apache.thrift.annotation.Nullable java.util.List<TrialReportMessage> trials; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SENDER((short)1, "sender"),
     CONFIGURATION_VERSION((short)2, "configurationVersion"),
-    LEAVING((short)3, "leaving");
+    LEAVING((short)3, "leaving"),
+    TRIALS((short)4, "trials");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -47,6 +50,8 @@
           return CONFIGURATION_VERSION;
         case 3: // LEAVING
           return LEAVING;
+        case 4: // TRIALS
+          return TRIALS;
         default:
           return null;
       }
@@ -93,6 +98,7 @@
   private static final int __CONFIGURATIONVERSION_ISSET_ID = 0;
   private static final int __LEAVING_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.TRIALS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -102,6 +108,9 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.LEAVING, new org.apache.thrift.meta_data.FieldMetaData("leaving", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.TRIALS, new org.apache.thrift.meta_data.FieldMetaData("trials", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TrialReportMessage.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PingMessage.class, metaDataMap);
   }
@@ -132,6 +141,13 @@
     }
     this.configurationVersion = other.configurationVersion;
     this.leaving = other.leaving;
+    if (other.isSetTrials()) {
+      java.util.List<TrialReportMessage> __this__trials = new java.util.ArrayList<TrialReportMessage>(other.trials.size());
+      for (TrialReportMessage other_element : other.trials) {
+        __this__trials.add(new TrialReportMessage(other_element));
+      }
+      this.trials = __this__trials;
+    }
   }
 
   @Override
@@ -146,6 +162,7 @@
     this.configurationVersion = 0;
     setLeavingIsSet(false);
     this.leaving = false;
+    this.trials = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -219,6 +236,47 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LEAVING_ISSET_ID, value);
   }
 
+  public int getTrialsSize() {
+    return (this.trials == null) ? 0 : this.trials.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<TrialReportMessage> getTrialsIterator() {
+    return (this.trials == null) ? null : this.trials.iterator();
+  }
+
+  public void addToTrials(TrialReportMessage elem) {
+    if (this.trials == null) {
+      this.trials = new java.util.ArrayList<TrialReportMessage>();
+    }
+    this.trials.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<TrialReportMessage> getTrials() {
+    return this.trials;
+  }
+
+  public PingMessage setTrials(@org.apache.thrift.annotation.Nullable java.util.List<TrialReportMessage> trials) {
+    this.trials = trials;
+    return this;
+  }
+
+  public void unsetTrials() {
+    this.trials = null;
+  }
+
+  /** Returns true if field trials is set (has been assigned a value) and false otherwise */
+  public boolean isSetTrials() {
+    return this.trials != null;
+  }
+
+  public void setTrialsIsSet(boolean value) {
+    if (!value) {
+      this.trials = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -246,6 +304,14 @@
       }
       break;
 
+    case TRIALS:
+      if (value == null) {
+        unsetTrials();
+      } else {
+        setTrials((java.util.List<TrialReportMessage>)value);
+      }
+      break;
+
     }
   }
 
@@ -262,6 +328,9 @@
     case LEAVING:
       return isLeaving();
 
+    case TRIALS:
+      return getTrials();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -280,6 +349,8 @@
       return isSetConfigurationVersion();
     case LEAVING:
       return isSetLeaving();
+    case TRIALS:
+      return isSetTrials();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -324,6 +395,15 @@
         return false;
     }
 
+    boolean this_present_trials = true && this.isSetTrials();
+    boolean that_present_trials = true && that.isSetTrials();
+    if (this_present_trials || that_present_trials) {
+      if (!(this_present_trials && that_present_trials))
+        return false;
+      if (!this.trials.equals(that.trials))
+        return false;
+    }
+
     return true;
   }
 
@@ -339,6 +419,10 @@
 
     hashCode = hashCode * 8191 + ((leaving) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetTrials()) ? 131071 : 524287);
+    if (isSetTrials())
+      hashCode = hashCode * 8191 + trials.hashCode();
+
     return hashCode;
   }
 
@@ -380,6 +464,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetTrials(), other.isSetTrials());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTrials()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.trials, other.trials);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -419,6 +513,16 @@
     sb.append("leaving:");
     sb.append(this.leaving);
     first = false;
+    if (isSetTrials()) {
+      if (!first) sb.append(", ");
+      sb.append("trials:");
+      if (this.trials == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.trials);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -499,6 +603,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // TRIALS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
+                struct.trials = new java.util.ArrayList<TrialReportMessage>(_list32.size);
+                @org.apache.thrift.annotation.Nullable TrialReportMessage _elem33;
+                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
+                {
+                  _elem33 = new TrialReportMessage();
+                  _elem33.read(iprot);
+                  struct.trials.add(_elem33);
+                }
+                iprot.readListEnd();
+              }
+              struct.setTrialsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -532,6 +655,20 @@
       oprot.writeFieldBegin(LEAVING_FIELD_DESC);
       oprot.writeBool(struct.leaving);
       oprot.writeFieldEnd();
+      if (struct.trials != null) {
+        if (struct.isSetTrials()) {
+          oprot.writeFieldBegin(TRIALS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.trials.size()));
+            for (TrialReportMessage _iter35 : struct.trials)
+            {
+              _iter35.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -553,6 +690,20 @@
       struct.sender.write(oprot);
       oprot.writeI64(struct.configurationVersion);
       oprot.writeBool(struct.leaving);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetTrials()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetTrials()) {
+        {
+          oprot.writeI32(struct.trials.size());
+          for (TrialReportMessage _iter36 : struct.trials)
+          {
+            _iter36.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
@@ -565,6 +716,21 @@
       struct.setConfigurationVersionIsSet(true);
       struct.leaving = iprot.readBool();
       struct.setLeavingIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        {
+          org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.trials = new java.util.ArrayList<TrialReportMessage>(_list37.size);
+          @org.apache.thrift.annotation.Nullable TrialReportMessage _elem38;
+          for (int _i39 = 0; _i39 < _list37.size; ++_i39)
+          {
+            _elem38 = new TrialReportMessage();
+            _elem38.read(iprot);
+            struct.trials.add(_elem38);
+          }
+        }
+        struct.setTrialsIsSet(true);
+      }
     }
   }
 
--- a/wagtailmux-peer/src/main/thrift/engine.thrift
+++ b/wagtailmux-peer/src/main/thrift/engine.thrift
@@ -41,8 +41,20 @@
   5: required i64 boot
 }
 
+struct TrialReportMessage {
+  1: required string pool
+  2: required i64 order
+  3: required i64 ageMicroseconds
+  4: required bool stopped
+  5: required i64 triedGood
+  6: required i64 triedBad
+  7: required i64 othersGood
+  8: required i64 othersBad
+}
+
 struct PingMessage {
   1: required InstanceRecordMessage sender
   2: required i64 configurationVersion
   3: required bool leaving
+  4: optional list<TrialReportMessage> trials
 }
