Route, organisation and the look ahead are classes of their own

An unused counter of connections is gone. No change of behaviour; ForwardingTests, StreamTests, StageTests pass.

--- /dev/null
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ChainPlanner.java
@@ -0,0 +1,99 @@
+package io.wagtailmux.engine.forward;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.wagtailmux.decision.admission.ChainPlan;
+import io.wagtailmux.decision.admission.ChainStep;
+import io.wagtailmux.decision.placement.HomeZone;
+import io.wagtailmux.engine.EngineContext;
+import io.wagtailmux.engine.port.CallerRequest;
+import io.wagtailmux.engine.state.PoolTraffic;
+import io.wagtailmux.model.AvailabilityZoneId;
+import io.wagtailmux.model.serving.Route;
+import io.wagtailmux.model.serving.RouteStage;
+import io.wagtailmux.model.serving.ServingPool;
+
+/**
+ * Looks ahead over all that a request needs: when it would be answered, and where its
+ * work is best done.
+ *
+ * @author the wagtailmux developers
+ */
+final class ChainPlanner {
+
+	/** The time from the last stage's end to an engine's first event. */
+	private static final Duration ENGINE_TIME = Duration.ofMillis(150);
+
+	private final EngineContext context;
+
+	private final Route route;
+
+	private final CallerRequest request;
+
+	private final PoolTraffic pool;
+
+	/**
+	 * Creates the planner of one request.
+	 * @param context what the engine works with
+	 * @param route the request's route
+	 * @param request what the caller said
+	 * @param pool the pool that answers in the end
+	 */
+	ChainPlanner(EngineContext context, Route route, CallerRequest request, PoolTraffic pool) {
+		this.context = context;
+		this.route = route;
+		this.request = request;
+		this.pool = pool;
+	}
+
+	/**
+	 * Works out when the request would be answered if it began now.
+	 * @return the plan
+	 */
+	ChainPlan plan() {
+		List<ChainStep> steps = new ArrayList<>();
+		for (int index = 0; index < this.route.stages().size(); index++) {
+			steps.add(step(index, this.route.stages().get(index)));
+		}
+		Duration last = this.route.stages().isEmpty() ? Duration.ZERO : ENGINE_TIME;
+		return new ChainPlan(steps, last);
+	}
+
+	private ChainStep step(int index, RouteStage stage) {
+		int count = (index < this.request.pieces().size()) ? this.request.pieces().get(index) : 0;
+		if (count == 0) {
+			return new ChainStep(stage.after(), Duration.ZERO, Duration.ZERO);
+		}
+		Duration work = this.context.state()
+			.pool(stage.pool())
+			.map(PoolTraffic::pool)
+			.flatMap(ServingPool::batch)
+			.map((batch) -> batch.time(Math.max(count, batch.pieces() / 2)))
+			.orElse(Duration.ZERO);
+		return new ChainStep(stage.after(), this.context.pieces().expectedWait(stage.pool()), work);
+	}
+
+	/**
+	 * Chooses where the request's work is done, among the zones that have an endpoint of
+	 * each pool that it needs.
+	 * @return the availability zone, if there is one
+	 */
+	Optional<AvailabilityZoneId> homeZone() {
+		Map<AvailabilityZoneId, Integer> weights = new HashMap<>();
+		this.pool.usableByZone().keySet().forEach((zone) -> weights.put(zone, Integer.MAX_VALUE));
+		for (RouteStage stage : this.route.stages()) {
+			Map<AvailabilityZoneId, Integer> usable = this.context.state()
+				.pool(stage.pool())
+				.map(PoolTraffic::usableByZone)
+				.orElse(Map.of());
+			weights.replaceAll((zone, weight) -> Math.min(weight, usable.getOrDefault(zone, 0)));
+		}
+		return HomeZone.choose(this.request.generation(), weights);
+	}
+
+}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
@@ -1,27 +1,20 @@
 package io.wagtailmux.engine.forward;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.concurrent.Future;
 
 import io.wagtailmux.decision.admission.ChainPlan;
-import io.wagtailmux.decision.admission.ChainStep;
 import io.wagtailmux.decision.placement.EndpointLoad;
-import io.wagtailmux.decision.placement.HomeZone;
 import io.wagtailmux.decision.placement.InputBytes;
 import io.wagtailmux.decision.placement.Placement;
 import io.wagtailmux.engine.EngineContext;
@@ -33,15 +26,10 @@
 import io.wagtailmux.engine.stage.StageRun;
 import io.wagtailmux.engine.state.LiveEndpoint;
 import io.wagtailmux.engine.state.PoolTraffic;
-import io.wagtailmux.model.AvailabilityZoneId;
 import io.wagtailmux.model.EndpointId;
-import io.wagtailmux.model.OrganisationId;
-import io.wagtailmux.model.serving.OrganisationKeys;
 import io.wagtailmux.model.serving.RequestKind;
 import io.wagtailmux.model.serving.Route;
-import io.wagtailmux.model.serving.RouteStage;
 import io.wagtailmux.model.serving.ServingConfiguration;
-import io.wagtailmux.model.serving.ServingPool;
 
 /**
  * One caller's request, from its whole body to the end of its answer.
@@ -58,9 +46,6 @@
 	/** The answer of an endpoint that stops at the deadline is on its way then. */
 	private static final Duration DEADLINE_SLACK = Duration.ofMillis(40);
 
-	/** The time from the last stage's end to an engine's first event. */
-	private static final Duration ENGINE_TIME = Duration.ofMillis(150);
-
 	private static final Duration NO_ENDPOINT_PAUSE = Duration.ofMillis(150);
 
 	private static final int MOST_URGENT = 1;
@@ -83,13 +68,13 @@
 
 	private CallerRequest request;
 
+	private RouteMatch match;
+
 	private Route route;
 
 	private PoolTraffic pool;
 
-	private Optional<OrganisationId> organisation = Optional.empty();
-
-	private int priority;
+	private ChainPlanner planner;
 
 	private Duration deadline;
 
@@ -138,14 +123,18 @@
 		}
 		try {
 			this.request = this.context.callers().read(this.head);
+			this.match = RouteMatch.find(configuration.get(), this.head, this.request);
+			this.route = this.match.route();
 		}
 		catch (ProtocolException ex) {
 			reject(RejectionCode.MALFORMED_REQUEST, ex.getMessage());
 			return;
 		}
-		if (identify(configuration.get())) {
-			begin(configuration.get());
+		catch (RejectionException ex) {
+			reject(ex.code(), ex.getMessage());
+			return;
 		}
+		begin(configuration.get());
 	}
 
 	/**
@@ -167,33 +156,6 @@
 		this.current.ifPresent((call) -> call.read(writable));
 	}
 
-	private boolean identify(ServingConfiguration configuration) {
-		String path = this.head.uri().split("\\?", 2)[0];
-		Optional<Route> found = configuration.route(host(), path);
-		if (found.isEmpty()) {
-			reject(RejectionCode.NO_ROUTE, "no route for " + host() + " in version " + configuration.version());
-			return false;
-		}
-		this.route = found.get();
-		Optional<OrganisationKeys> holder = this.request.key().flatMap(configuration::organisation);
-		if (holder.isEmpty() && configuration.hasOrganisations() && !this.route.anonymous()) {
-			reject(RejectionCode.UNKNOWN_KEY, "no organisation holds the key in version " + configuration.version());
-			return false;
-		}
-		this.organisation = holder.map(OrganisationKeys::id);
-		this.priority = holder.map(OrganisationKeys::priority)
-			.filter((rank) -> rank.isPresent())
-			.map((rank) -> rank.getAsInt())
-			.orElse(this.route.priority());
-		return true;
-	}
-
-	private String host() {
-		String host = this.head.headers().get(HttpHeaderNames.HOST, "");
-		int port = host.lastIndexOf(':');
-		return ((port >= 0) ? host.substring(0, port) : host).toLowerCase(Locale.ROOT);
-	}
-
 	private void begin(ServingConfiguration configuration) {
 		Duration allowed = this.request.left();
 		if (this.route.timing().timeout().compareTo(allowed) < 0) {
@@ -216,7 +178,8 @@
 		}
 		this.pool = found.get();
 		this.trial = this.context.random().nextDouble() < this.pool.trialShare();
-		ChainPlan plan = plan();
+		this.planner = new ChainPlanner(this.context, this.route, this.request, this.pool);
+		ChainPlan plan = this.planner.plan();
 		Optional<Duration> refusal = this.context.admission().refuse(plan.expectedFinish(), left());
 		if (refusal.isPresent()) {
 			refuse(RejectionCode.OVERLOADED, refusal.get(),
@@ -233,29 +196,6 @@
 		runStages(plan);
 	}
 
-	private ChainPlan plan() {
-		List<ChainStep> steps = new ArrayList<>();
-		for (int index = 0; index < this.route.stages().size(); index++) {
-			steps.add(step(index, this.route.stages().get(index)));
-		}
-		Duration last = this.route.stages().isEmpty() ? Duration.ZERO : ENGINE_TIME;
-		return new ChainPlan(steps, last);
-	}
-
-	private ChainStep step(int index, RouteStage stage) {
-		int count = (index < this.request.pieces().size()) ? this.request.pieces().get(index) : 0;
-		if (count == 0) {
-			return new ChainStep(stage.after(), Duration.ZERO, Duration.ZERO);
-		}
-		Duration work = this.context.state()
-			.pool(stage.pool())
-			.map(PoolTraffic::pool)
-			.flatMap(ServingPool::batch)
-			.map((batch) -> batch.time(Math.max(count, batch.pieces() / 2)))
-			.orElse(Duration.ZERO);
-		return new ChainStep(stage.after(), this.context.pieces().expectedWait(stage.pool()), work);
-	}
-
 	/**
 	 * Has a request that failed once go on at a version that is known to be good.
 	 */
@@ -269,30 +209,13 @@
 			return;
 		}
 		this.stageRuns++;
-		StageRun run = new StageRun(this.context, this.route, this.request, this.priority, plan,
-				this.received.plus(this.route.timing().target()), this.deadline, homeZone(), this::stagesEnded);
+		StageRun run = new StageRun(this.context, this.route, this.request, this.match.priority(), plan,
+				this.received.plus(this.route.timing().target()), this.deadline, this.planner.homeZone(),
+				this::stagesEnded);
 		this.stages = Optional.of(run);
 		run.start();
 	}
 
-	/**
-	 * Chooses where the request's work is done, among the zones that have an endpoint of
-	 * each pool that it needs.
-	 * @return the availability zone, if there is one
-	 */
-	private Optional<AvailabilityZoneId> homeZone() {
-		Map<AvailabilityZoneId, Integer> weights = new HashMap<>();
-		this.pool.usableByZone().keySet().forEach((zone) -> weights.put(zone, Integer.MAX_VALUE));
-		for (RouteStage stage : this.route.stages()) {
-			Map<AvailabilityZoneId, Integer> usable = this.context.state()
-				.pool(stage.pool())
-				.map(PoolTraffic::usableByZone)
-				.orElse(Map.of());
-			weights.replaceAll((zone, weight) -> Math.min(weight, usable.getOrDefault(zone, 0)));
-		}
-		return HomeZone.choose(this.request.generation(), weights);
-	}
-
 	private void stagesEnded(Optional<PieceFailure> failure) {
 		if (this.over) {
 			return;
@@ -312,7 +235,7 @@
 	 * @return whether that was begun
 	 */
 	boolean repeatStages() {
-		ChainPlan plan = plan();
+		ChainPlan plan = this.planner.plan();
 		if (this.stageRuns > 1 || plan.expectedFinish().compareTo(left()) > 0) {
 			return false;
 		}
@@ -533,14 +456,15 @@
 	ForwardedCall description(LiveEndpoint endpoint) {
 		List<ResultHandle> inputs = this.stages.map(StageRun::inputs).orElse(List.of());
 		Optional<String> lastEvent = this.stream.lastId().or(() -> this.request.lastEventId());
-		return new ForwardedCall(endpoint.entry().id(), left(), this.organisation, inputs, lastEvent, urgency());
+		return new ForwardedCall(endpoint.entry().id(), left(), this.match.organisation(), inputs, lastEvent,
+				urgency());
 	}
 
 	private OptionalInt urgency() {
 		if (this.pool.pool().engine().isEmpty()) {
 			return OptionalInt.empty();
 		}
-		return OptionalInt.of(Math.min(LEAST_URGENT, MOST_URGENT + this.priority * URGENCY_STEP));
+		return OptionalInt.of(Math.min(LEAST_URGENT, MOST_URGENT + this.match.priority() * URGENCY_STEP));
 	}
 
 	private void reject(RejectionCode code, String why) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/HttpClient.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/HttpClient.java
@@ -44,8 +44,6 @@
 
 	private final Bootstrap bootstrap;
 
-	private long connectionsOpened;
-
 	/**
 	 * Creates a client without connections.
 	 * @param loop the event loop that everything happens on
@@ -81,14 +79,6 @@
 		return call;
 	}
 
-	/**
-	 * Returns how many connections were opened.
-	 * @return the number since the start, failed ones included
-	 */
-	public long connectionsOpened() {
-		return this.connectionsOpened;
-	}
-
 	/**
 	 * Returns the event loop that all calls belong to.
 	 * @return the event loop
@@ -98,7 +88,6 @@
 	}
 
 	private void connect(HttpDestination destination, ClientCall call) {
-		this.connectionsOpened++;
 		ClientConnection connection = new ClientConnection(destination, this.time);
 		ChannelFuture connected = this.bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
 
