--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
@@ -236,12 +236,21 @@
 		boolean over = now.compareTo(forcedEnd()) >= 0;
 		if (over || (letGo && this.connections.busy() == 0)) {
 			LOG.atInfo().addKeyValue("busy", this.connections.busy()).log("stopped");
+			takeNoMore();
 			this.controlThread.schedule(this.ended, STOP_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 			return;
 		}
 		this.traffic.schedule(this::checkStop, STOP_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Makes sure that nothing is taken between the decision to end and the end.
+	 */
+	private void takeNoMore() {
+		this.listeners.forEach(HttpListener::close);
+		this.connections.closeIdle();
+	}
+
 	private Duration forcedEnd() {
 		return this.stopRequested.plus(this.settings.grace()).minus(GRACE_MARGIN);
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/logging/BoundedAsyncAppender.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/logging/BoundedAsyncAppender.java
@@ -1,5 +1,6 @@
 package io.wagtailmux.engine.logging;
 
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 
 import ch.qos.logback.classic.AsyncAppender;
@@ -8,12 +9,14 @@
 import ch.qos.logback.classic.spi.LoggingEvent;
 
 /**
- * Hands log lines to a thread of their own, at most so many a second, and says how many
- * were dropped.
+ * Hands log lines to a thread of their own, of one logger at most so many a second, and
+ * says how many were dropped.
  *
  * <p>
  * It never blocks: a line that finds the queue full or the second's lines used up is
- * dropped and counted. Warnings and errors are not bound by the lines of a second.
+ * dropped and counted. Only lines of the logger that writes in proportion to the load are
+ * bound, and of these no warnings and errors; starts, stops and changed beliefs are
+ * always told.
  *
  * @author the wagtailmux developers
  */
@@ -27,6 +30,8 @@
 
 	private int linesPerSecond = STANDARD_LINES_PER_SECOND;
 
+	private String boundLogger = "";
+
 	private long second;
 
 	private int linesInSecond;
@@ -40,13 +45,21 @@
 	}
 
 	/**
-	 * Sets how many lines below warnings are passed on in a second.
+	 * Sets how many lines below warnings the bound logger may write in a second.
 	 * @param lines the number of lines
 	 */
 	public void setLinesPerSecond(int lines) {
 		this.linesPerSecond = lines;
 	}
 
+	/**
+	 * Sets the logger whose lines are bound.
+	 * @param name the logger's name
+	 */
+	public void setBoundLogger(String name) {
+		this.boundLogger = name;
+	}
+
 	/**
 	 * Returns how many lines were dropped and not yet told of.
 	 * @return the number of lines
@@ -71,8 +84,13 @@
 			this.linesInSecond = 0;
 			tellDropped(event);
 		}
+		boolean bound = event.getLoggerName().equals(this.boundLogger)
+				&& !event.getLevel().isGreaterOrEqual(Level.WARN);
+		if (!bound) {
+			return true;
+		}
 		this.linesInSecond++;
-		return this.linesInSecond <= this.linesPerSecond || event.getLevel().isGreaterOrEqual(Level.WARN);
+		return this.linesInSecond <= this.linesPerSecond;
 	}
 
 	private void tellDropped(ILoggingEvent event) {
@@ -86,6 +104,8 @@
 		told.setThreadName(event.getThreadName());
 		told.setMessage("log lines dropped: " + lines);
 		told.setTimeStamp(event.getTimeStamp());
+		// Without it the line would ask for a logger context, which it does not have.
+		told.setMDCPropertyMap(Map.of());
 		super.append(told);
 	}
 
