Stage work that cannot help its request any more is not begun

Cause: a piece was dropped only once its own call could not end before the request's deadline. What comes after it was not counted, so at high load endpoints worked for requests that could not be answered any more. A group went on after one of its pieces had failed for good.

Change: a piece is of use until the deadline less the least time of all that follows it (ChainPlan.leastTimeAfter); the first failure of a group ends it, waiting pieces are given up and results that still come are freed.

--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/admission/ChainPlan.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/admission/ChainPlan.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Function;
 
 /**
  * When the stages of a request are expected to end, and how much time each leaves to
@@ -49,11 +50,25 @@
 		return this.steps.get(step).work().plus(timeAfter(step));
 	}
 
+	/**
+	 * Returns how much time must remain at least when a stage's work has ended. Work that
+	 * ends later is of no use to anybody.
+	 * @param step the index of the stage
+	 * @return the time to the answer if nothing that comes after has to wait
+	 */
+	public Duration leastTimeAfter(int step) {
+		return timeAfter(step, ChainStep::work);
+	}
+
 	private Duration timeAfter(int step) {
+		return timeAfter(step, ChainStep::time);
+	}
+
+	private Duration timeAfter(int step, Function<ChainStep, Duration> timeOf) {
 		Duration longest = this.last;
 		for (int next = step + 1; next < this.steps.size(); next++) {
 			if (this.steps.get(next).after().contains(step)) {
-				Duration time = this.steps.get(next).time().plus(timeAfter(next));
+				Duration time = timeOf.apply(this.steps.get(next)).plus(timeAfter(next, timeOf));
 				longest = (time.compareTo(longest) > 0) ? time : longest;
 			}
 		}
--- a/wagtailmux-decision/src/test/java/io/wagtailmux/decision/admission/ChainPlanTests.java
+++ b/wagtailmux-decision/src/test/java/io/wagtailmux/decision/admission/ChainPlanTests.java
@@ -31,6 +31,14 @@
 		assertThat(plan.timeFrom(1)).isEqualTo(Duration.ofMillis(200 + 150));
 	}
 
+	@Test
+	void theLeastTimeAfterAStageCountsNoWaits() {
+		ChainPlan plan = new ChainPlan(
+				List.of(step(List.of(), 500, 300), step(List.of(0), 50, 200), step(List.of(0), 900, 250)), LAST);
+		assertThat(plan.leastTimeAfter(0)).isEqualTo(Duration.ofMillis(250 + 150));
+		assertThat(plan.leastTimeAfter(1)).isEqualTo(LAST);
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "900, 1000, false", "1000, 1000, false", "1001, 1000, true", "60000, 6000, true" })
 	void whatCannotBeAnsweredInTimeIsRefusedAtOnce(long finish, long left, boolean refused) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedGroup.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedGroup.java
@@ -97,19 +97,20 @@
 	}
 
 	/**
-	 * Takes the outcome of a piece.
+	 * Takes the outcome of a piece. The first failure ends the group: its request has no
+	 * use for the other pieces.
 	 * @param piece the index of the piece
 	 * @param outcome what became of it
 	 * @param expectedWait how long a further piece would wait at the pool
-	 * @return whether the group is complete, and its listener was told
 	 */
-	boolean settle(int piece, PieceOutcome outcome, Duration expectedWait) {
+	void settle(int piece, PieceOutcome outcome, Duration expectedWait) {
 		this.outcomes.put(piece, outcome);
-		if (this.cancelled || this.outcomes.size() < this.group.pieces().size()) {
-			return this.outcomes.size() == this.group.pieces().size();
+		boolean failed = outcome.failure().isPresent();
+		if (this.cancelled || (!failed && this.outcomes.size() < this.group.pieces().size())) {
+			return;
 		}
+		this.cancelled = failed;
 		this.done.accept(new PieceGroupResult(this.outcomes, expectedWait));
-		return true;
 	}
 
 }
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
@@ -192,8 +192,12 @@
 
 	private void settle(PieceId id, PieceOutcome outcome) {
 		OwnedGroup owned = this.groups.remove(id);
-		if (owned != null) {
-			owned.settle(id.piece(), outcome, expectedWait());
+		if (owned == null) {
+			return;
+		}
+		owned.settle(id.piece(), outcome, expectedWait());
+		if (owned.cancelled()) {
+			cancel(owned);
 		}
 	}
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/PieceGroup.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/PieceGroup.java
@@ -18,7 +18,8 @@
  * @param key what the work is about; for stages that need no others
  * @param inputs the results that each piece needs
  * @param priority the rank of the request; zero is the most urgent
- * @param left the time until nobody waits for the pieces
+ * @param left the time until the pieces are of no use: what comes after them could not be
+ * done any more before the request's deadline
  * @param spare the time until the request cannot be on time any more unless the pieces
  * are begun; negative if it is late already
  * @param resultBytes the approximate size of each result
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/StageRun.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/StageRun.java
@@ -176,9 +176,10 @@
 			.flatMap((before) -> this.results.get(before).stream())
 			.toList();
 		Duration now = this.context.time().elapsed();
+		Duration usefulUntil = this.deadline.minus(this.plan.leastTimeAfter(index));
 		PieceGroup group = new PieceGroup(this.request.attempt(), index, IntStream.range(0, count).boxed().toList(),
 				stage.after().isEmpty() ? this.request.pieceKey() : Optional.empty(), inputs, this.priority,
-				this.deadline.minus(now), this.target.minus(this.plan.timeFrom(index)).minus(now), stage.resultBytes(),
+				usefulUntil.minus(now), this.target.minus(this.plan.timeFrom(index)).minus(now), stage.resultBytes(),
 				movesMuch(index) ? this.home : Optional.empty(), inputsFreedAt(index));
 		this.cancellations.add(this.context.pieces().submit(stage.pool(), group, (result) -> ended(index, result)));
 	}
