Results are given up once the engine has read them

Results stayed until the engine's first event, long after it had read them.

Change: an engine that has a place for the request reads its inputs at once; 60 ms after the call they are given up. If it fails later, the stages run again, once, if there is time; then results stay until the first event. An endpoint that is silent is left only if the stages can still run again.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
@@ -46,6 +46,9 @@
 	/** The answer of an endpoint that stops at the deadline is on its way then. */
 	private static final Duration DEADLINE_SLACK = Duration.ofMillis(40);
 
+	/** An endpoint that has a place for a request reads its inputs at once. */
+	private static final Duration INPUT_READING_TIME = Duration.ofMillis(60);
+
 	private static final Duration NO_ENDPOINT_PAUSE = Duration.ofMillis(150);
 
 	private static final int MOST_URGENT = 1;
@@ -236,7 +239,7 @@
 	 */
 	boolean repeatStages() {
 		ChainPlan plan = this.planner.plan();
-		if (this.stageRuns > 1 || plan.expectedFinish().compareTo(left()) > 0) {
+		if (!mayRepeatStages(plan)) {
 			return false;
 		}
 		this.stages.ifPresent(StageRun::release);
@@ -266,6 +269,26 @@
 		ForwardCall call = new ForwardCall(this.context, this, endpoint);
 		this.current = Optional.of(call);
 		call.send();
+		this.stages.ifPresent((run) -> giveUpInputsOnceRead(run, call));
+	}
+
+	/**
+	 * Gives the results up that the endpoint reads before it begins: their room is scarce
+	 * when load is high, and the first event comes much later. An endpoint that has no
+	 * place for the request reads them later, and they stay until its first event.
+	 * @param run the stages that made the results
+	 * @param call the call whose endpoint reads them
+	 */
+	private void giveUpInputsOnceRead(StageRun run, ForwardCall call) {
+		boolean waits = call.endpoint().load().busy(now()) > call.endpoint().load().slots();
+		if (waits || this.stageRuns > 1) {
+			return;
+		}
+		this.context.loop().schedule(() -> {
+			if (this.current.filter(call::equals).isPresent()) {
+				run.release();
+			}
+		}, INPUT_READING_TIME.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	/**
@@ -285,13 +308,22 @@
 			failWithoutAnswer(RejectionCode.NO_ENDPOINT, outcome);
 			return;
 		}
+		if (!goOn()) {
+			failWithoutAnswer(RejectionCode.STAGES_FAILED, "no time to run the stages again");
+		}
+	}
+
+	/**
+	 * Asks the next endpoint, after the stages have run again if their results were given
+	 * up.
+	 * @return whether there was time for that
+	 */
+	private boolean goOn() {
 		if (this.stages.map(StageRun::released).orElse(false)) {
-			if (!repeatStages()) {
-				failWithoutAnswer(RejectionCode.STAGES_FAILED, "no time to run the stages again");
-			}
-			return;
+			return repeatStages();
 		}
 		forward();
+		return true;
 	}
 
 	/**
@@ -307,7 +339,7 @@
 		this.mayHaveRun = true;
 		this.current = Optional.empty();
 		this.context.log().callFailed(this.request.attempt(), call.endpoint().entry().id(), outcome, "next");
-		forward();
+		goOn();
 		return true;
 	}
 
@@ -323,8 +355,9 @@
 		}
 		call.cancel();
 		this.mayHaveRun = true;
+		this.current = Optional.empty();
 		this.context.log().callFailed(this.request.attempt(), call.endpoint().entry().id(), outcome, "next");
-		forward();
+		goOn();
 		return true;
 	}
 
@@ -333,7 +366,15 @@
 		boolean elsewhere = this.pool.candidates(this.trial, now())
 			.stream()
 			.anyMatch((candidate) -> !this.tried.contains(candidate.id()));
-		return elsewhere && mayRepeat(false) && this.pool.repeats().take(now());
+		return elsewhere && inputsCanBeHad() && mayRepeat(false) && this.pool.repeats().take(now());
+	}
+
+	private boolean inputsCanBeHad() {
+		return !this.stages.map(StageRun::released).orElse(false) || mayRepeatStages(this.planner.plan());
+	}
+
+	private boolean mayRepeatStages(ChainPlan plan) {
+		return this.stageRuns <= 1 && plan.expectedFinish().compareTo(left()) <= 0;
 	}
 
 	/**
