Requests that share a part of their prompt meet in their home zone

Cause: the preferred engine was chosen among those of the zone with most of the request's results.

Change: the engine is preferred in the home zone of the shared part, whatever the request's results.

PlacementTests: the new case holds that they meet.

--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/placement/EnginePlacement.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/placement/EnginePlacement.java
@@ -44,20 +44,22 @@
 	 * @param tried those that had this request already and are not used again
 	 * @param generation what is asked for
 	 * @param inputs where the results lie that the engine reads before it begins
+	 * @param home the availability zone in which requests with the same shared part are
+	 * served, whatever their results
 	 * @param now the elapsed time
 	 * @return the choice; nothing if all were tried
 	 */
 	public Optional<Placement> choose(List<EndpointLoad> engines, Set<EndpointId> tried, Generation generation,
-			InputBytes inputs, Duration now) {
-		Optional<EndpointLoad> preferred = preferred(engines, generation, inputs.mostIn());
+			InputBytes inputs, Optional<AvailabilityZoneId> home, Duration now) {
+		Optional<EndpointLoad> preferred = preferred(engines, generation, home);
 		EndpointLoad best = null;
 		Duration bestTime = null;
 		for (EndpointLoad engine : engines) {
 			if (tried.contains(engine.id())) {
 				continue;
 			}
-			boolean home = preferred.isPresent() && preferred.get() == engine;
-			Duration time = firstToken(engine, generation, home, now).plus(transfer(engine, inputs));
+			boolean keepsPart = preferred.isPresent() && preferred.get() == engine;
+			Duration time = firstToken(engine, generation, keepsPart, now).plus(transfer(engine, inputs));
 			if (bestTime == null || time.compareTo(bestTime) < 0) {
 				best = engine;
 				bestTime = time;
@@ -98,9 +100,9 @@
 		return Duration.ofNanos((long) (OTHER_ZONE_COST_PER_MEGABYTE.toNanos() * megabytes));
 	}
 
-	private static Duration firstToken(EndpointLoad engine, Generation generation, boolean home, Duration now) {
+	private static Duration firstToken(EndpointLoad engine, Generation generation, boolean keepsPart, Duration now) {
 		long unread = unreadTokens(engine, generation);
-		if (home) {
+		if (keepsPart) {
 			unread = Math.min(unread, ownTokens(generation));
 		}
 		Duration reading = PromptCacheView.readingTime(engine.unreadPromptTokens() + unread, TOKENS_PER_SECOND);
--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/placement/InputBytes.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/placement/InputBytes.java
@@ -1,8 +1,6 @@
 package io.wagtailmux.decision.placement;
 
-import java.util.Comparator;
 import java.util.Map;
-import java.util.Optional;
 
 import io.wagtailmux.model.AvailabilityZoneId;
 
@@ -37,16 +35,4 @@
 			.sum();
 	}
 
-	/**
-	 * Returns the zone in which most of the bytes lie.
-	 * @return the availability zone; nothing if there are no bytes
-	 */
-	public Optional<AvailabilityZoneId> mostIn() {
-		return this.byZone.entrySet()
-			.stream()
-			.max(Map.Entry.<AvailabilityZoneId, Long>comparingByValue()
-				.thenComparing(Map.Entry.comparingByKey(Comparator.comparing(AvailabilityZoneId::value))))
-			.map(Map.Entry::getKey);
-	}
-
 }
--- a/wagtailmux-decision/src/test/java/io/wagtailmux/decision/placement/PlacementTests.java
+++ b/wagtailmux-decision/src/test/java/io/wagtailmux/decision/placement/PlacementTests.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 
@@ -92,7 +93,8 @@
 		Set<EndpointId> tried = new HashSet<>();
 		this.endpoints.forEach((endpoint) -> tried.add(endpoint.id()));
 		assertThat(this.plain.choose(this.endpoints, tried, NOW)).isEmpty();
-		assertThat(this.engines.choose(this.endpoints, tried, generation("a"), InputBytes.NONE, NOW)).isEmpty();
+		assertThat(this.engines.choose(this.endpoints, tried, generation("a"), InputBytes.NONE, Optional.empty(), NOW))
+			.isEmpty();
 	}
 
 	@Test
@@ -130,11 +132,27 @@
 	void enginesAreChosenWhereLargeResultsLie() {
 		InputBytes inputs = new InputBytes(Map.of(FAR, 4_000_000L));
 		for (int part = 0; part < 30; part++) {
-			EndpointId chosen = chooseEngine("part-" + part, inputs);
+			EndpointId chosen = chooseEngine("part-" + part, inputs, Optional.of(FAR));
 			assertThat(this.endpoints.subList(2, 4)).extracting(EndpointLoad::id).contains(chosen);
 		}
 	}
 
+	/**
+	 * Replays requests of which some have no results and some had theirs made elsewhere:
+	 * they share the part all the same.
+	 */
+	@Test
+	void requestsThatShareAPartMeetWhateverTheirResults() {
+		InputBytes near = new InputBytes(Map.of(NEAR, 3_000_000L));
+		InputBytes far = new InputBytes(Map.of(FAR, 3_000_000L));
+		for (int part = 0; part < 30; part++) {
+			String shared = "part-" + part;
+			EndpointId without = chooseEngine(shared, InputBytes.NONE, Optional.of(FAR));
+			assertThat(chooseEngine(shared, far, Optional.of(FAR))).isEqualTo(without);
+			assertThat(chooseEngine(shared, near, Optional.of(FAR))).isEqualTo(without);
+		}
+	}
+
 	@Test
 	void cachedPartsCountOnlyIfAllBeforeThemAreKept() {
 		PromptCacheView cache = new PromptCacheView(1000);
@@ -164,7 +182,11 @@
 	}
 
 	private EndpointId chooseEngine(String part, InputBytes inputs) {
-		return this.engines.choose(this.endpoints, Set.of(), generation(part), inputs, NOW)
+		return chooseEngine(part, inputs, Optional.empty());
+	}
+
+	private EndpointId chooseEngine(String part, InputBytes inputs, Optional<AvailabilityZoneId> home) {
+		return this.engines.choose(this.endpoints, Set.of(), generation(part), inputs, home, NOW)
 			.orElseThrow()
 			.endpoint()
 			.id();
