--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
@@ -253,8 +253,7 @@
 		Optional<Placement> placement = this.pool.pool().engine().isPresent()
 				? this.context.enginePlacement()
 					.choose(candidates, this.tried, this.request.generation(),
-							this.stages.map(StageRun::inputBytes).orElse(InputBytes.NONE), this.planner.homeZone(),
-							now)
+							this.stages.map(StageRun::inputBytes).orElse(InputBytes.NONE), this.planner.homeZone(), now)
 				: this.context.plainPlacement().choose(candidates, this.tried, now);
 		if (placement.isEmpty()) {
 			failWithoutAnswer(RejectionCode.NO_ENDPOINT, candidates.size() + " of " + this.pool.endpoints().size()
