Large results that are read at the end are made at the end

Cause: on a route with a large result beside a longer chain the large one was made at the start and lay in the scarce room until the chain had ended: at the worst load several seconds, while calls of its pool were 0.57 full.

Ruled out: the chain itself as the place to save (its results are small).

Change: a stage whose results only the endpoint reads is held back while another stage that is not done needs longer than it does, its wait and 0.2 s included (ChainPlan.wouldBeEarly).

--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/admission/ChainPlan.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/admission/ChainPlan.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Function;
+import java.util.stream.IntStream;
 
 /**
  * When the stages of a request are expected to end, and how much time each leaves to
@@ -13,6 +15,9 @@
  */
 public final class ChainPlan {
 
+	/** Estimates of waits are this far off at times. */
+	private static final Duration EARLY_MARGIN = Duration.ofMillis(200);
+
 	private final List<ChainStep> steps;
 
 	private final Duration last;
@@ -60,6 +65,20 @@
 		return timeAfter(step, ChainStep::work);
 	}
 
+	/**
+	 * Tells whether a stage would be done long before others whose results are read
+	 * together with its own, so that its results would only lie there.
+	 * @param step the index of the stage
+	 * @param ended the stages whose results are there
+	 * @return whether there is more time than it needs, its wait and a margin included
+	 */
+	public boolean wouldBeEarly(int step, Set<Integer> ended) {
+		Duration own = this.steps.get(step).waiting().plus(timeFrom(step)).plus(EARLY_MARGIN);
+		return IntStream.range(0, this.steps.size())
+			.filter((other) -> other != step && !ended.contains(other))
+			.anyMatch((other) -> timeFrom(other).compareTo(own) > 0);
+	}
+
 	private Duration timeAfter(int step) {
 		return timeAfter(step, ChainStep::time);
 	}
--- a/wagtailmux-decision/src/test/java/io/wagtailmux/decision/admission/ChainPlanTests.java
+++ b/wagtailmux-decision/src/test/java/io/wagtailmux/decision/admission/ChainPlanTests.java
@@ -39,6 +39,20 @@
 		assertThat(plan.leastTimeAfter(1)).isEqualTo(LAST);
 	}
 
+	@ParameterizedTest(name = "after {0} the first stage is early: {1}")
+	@CsvSource({ "'', true", "'1', true", "'1,2', false", "'1,2,3', false" })
+	void aStageBesideALongerChainIsEarlyUntilTheChainHasCaughtUp(String ended, boolean early) {
+		ChainPlan plan = new ChainPlan(List.of(step(List.of(), 100, 250), step(List.of(), 50, 250),
+				step(List.of(1), 100, 300), step(List.of(2), 100, 350)), LAST);
+		Set<Integer> done = new HashSet<>();
+		for (String stage : ended.split(",")) {
+			if (!stage.isEmpty()) {
+				done.add(Integer.valueOf(stage));
+			}
+		}
+		assertThat(plan.wouldBeEarly(0, done)).isEqualTo(early);
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "900, 1000, false", "1000, 1000, false", "1001, 1000, true", "60000, 6000, true" })
 	void whatCannotBeAnsweredInTimeIsRefusedAtOnce(long finish, long left, boolean refused) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/StageRun.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/StageRun.java
@@ -154,7 +154,7 @@
 	private void advance() {
 		for (int stage = 0; stage < this.route.stages().size(); stage++) {
 			boolean ready = this.results.keySet().containsAll(this.route.stages().get(stage).after());
-			if (ready && !this.over && this.begun.add(stage)) {
+			if (ready && !this.over && !heldBack(stage) && this.begun.add(stage)) {
 				begin(stage);
 			}
 		}
@@ -164,6 +164,17 @@
 		}
 	}
 
+	/**
+	 * Tells whether a stage waits for others that take longer, since its results are
+	 * large and nobody reads them before: their room is scarce when load is high.
+	 * @param stage the index of the stage
+	 * @return whether it is begun later
+	 */
+	private boolean heldBack(int stage) {
+		boolean large = pieces(stage) * this.route.stages().get(stage).resultBytes() >= MANY_BYTES;
+		return large && isLast(stage) && this.plan.wouldBeEarly(stage, this.results.keySet());
+	}
+
 	private void begin(int index) {
 		RouteStage stage = this.route.stages().get(index);
 		int count = (int) pieces(index);
