Owners are asked in each round, other instances in turn; changes collect a little

Ruled out: a longer interval for everybody: owners of stage pools must be missed within two seconds.

Change: PingSchedule asks the first two instances for each stage pool, and for each move to another version, in every round and twelve others in turn; the limit of silence for these follows. With thirteen instances or fewer nothing changes. Rows of instances are read less often with more than sixteen. From fourteen instances on, changes of a table collect for up to 0.4 s before the next call.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/EndpointRegistry.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/EndpointRegistry.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -49,11 +50,11 @@
 	private boolean told;
 
 	EndpointRegistry(FactCodec codec, RowStore store, ScheduledExecutorService control, TimeSource time,
-			Runnable changed) {
+			Supplier<Duration> pauseAfterChange, Runnable changed) {
 		this.codec = codec;
 		this.control = control;
 		this.changed = changed;
-		this.mirror = new TableMirror(codec.endpointTable(), store, control, time, this);
+		this.mirror = new TableMirror(codec.endpointTable(), store, control, time, pauseAfterChange, this);
 	}
 
 	void start() {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Membership.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Membership.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -10,11 +11,13 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.netty.handler.codec.http.HttpMethod;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.wagtailmux.decision.membership.PingSchedule;
 import io.wagtailmux.engine.http.HttpClient;
 import io.wagtailmux.engine.http.HttpDestination;
 import io.wagtailmux.engine.http.OutgoingRequest;
@@ -67,6 +70,9 @@
 
 	private static final Duration READ_INTERVAL = Duration.ofSeconds(8);
 
+	/** All rows are read, so with more instances they are read less often. */
+	private static final int INSTANCES_AT_READ_INTERVAL = 16;
+
 	/**
 	 * An instance that has not read the rows takes a share as small as in a large system.
 	 */
@@ -88,6 +94,10 @@
 
 	private final Map<String, KnownInstance> known = new HashMap<>();
 
+	private final PingSchedule schedule = new PingSchedule();
+
+	private final Supplier<Set<String>> duties;
+
 	private Set<InstancePeer> published = Set.of();
 
 	private int publishedInstances;
@@ -107,9 +117,10 @@
 	 * @param time the clock
 	 * @param changed hears when other instances came or went
 	 * @param heard takes what other instances answer, on the control thread
+	 * @param duties tells the names of what one instance does for all
 	 */
 	Membership(InstanceRecordMessage self, RowStore store, HttpClient client, ScheduledExecutorService control,
-			TimeSource time, Runnable changed, Consumer<PingMessage> heard) {
+			TimeSource time, Runnable changed, Consumer<PingMessage> heard, Supplier<Set<String>> duties) {
 		this.self = self;
 		this.store = store;
 		this.client = client;
@@ -117,6 +128,7 @@
 		this.time = time;
 		this.changed = changed;
 		this.heard = heard;
+		this.duties = duties;
 	}
 
 	void start() {
@@ -138,10 +150,14 @@
 	 */
 	List<InstancePeer> alive() {
 		Duration now = this.time.elapsed();
+		List<InstanceId> others = others();
+		Set<InstanceId> askedAlways = this.schedule.askedAlways(others, this.duties.get());
+		Duration inTurn = PingSchedule.silenceLimitInTurn(others.size(), SILENCE_LIMIT, PING_INTERVAL);
 		return this.known.values()
 			.stream()
 			.filter((instance) -> !isSelf(instance) && !instance.leaving)
-			.filter((instance) -> now.minus(instance.answeredAt).compareTo(SILENCE_LIMIT) < 0)
+			.filter((instance) -> now.minus(instance.answeredAt)
+				.compareTo(askedAlways.contains(instance.id()) ? SILENCE_LIMIT : inTurn) < 0)
 			.map(KnownInstance::peer)
 			.toList();
 	}
@@ -157,9 +173,23 @@
 		return (int) this.known.values().stream().filter((instance) -> !isSelf(instance)).count() + 1;
 	}
 
+	private List<InstanceId> others() {
+		return this.known.values()
+			.stream()
+			.filter((instance) -> !isSelf(instance))
+			.map(KnownInstance::id)
+			.sorted(Comparator.comparing(InstanceId::value))
+			.toList();
+	}
+
+	private Duration readInterval() {
+		return READ_INTERVAL.multipliedBy(Math.max(INSTANCES_AT_READ_INTERVAL, this.known.size()))
+			.dividedBy(INSTANCES_AT_READ_INTERVAL);
+	}
+
 	private void readRows() {
 		this.store.read(TABLE, "").whenCompleteAsync((page, failure) -> {
-			Duration pause = (this.reads < READ_PAUSES.size()) ? READ_PAUSES.get(this.reads) : READ_INTERVAL;
+			Duration pause = (this.reads < READ_PAUSES.size()) ? READ_PAUSES.get(this.reads) : readInterval();
 			this.control.schedule(this::readRows, pause.toMillis(), TimeUnit.MILLISECONDS);
 			if (failure != null) {
 				LOG.atWarn().addKeyValue("why", failure.getMessage()).log("instances not read");
@@ -230,8 +260,9 @@
 
 	private void ping() {
 		Duration now = this.time.elapsed();
+		Set<InstanceId> asked = this.schedule.next(others(), this.duties.get());
 		for (KnownInstance instance : List.copyOf(this.known.values())) {
-			if (isSelf(instance)) {
+			if (!asked.contains(instance.id())) {
 				continue;
 			}
 			if (now.minus(instance.answeredAt).compareTo(REMOVAL_LIMIT) > 0 && instance.rowVersion > 0) {
@@ -322,9 +353,12 @@
 			this.answeredAt = now.minus(SILENCE_LIMIT);
 		}
 
+		InstanceId id() {
+			return new InstanceId(this.record.getInstance());
+		}
+
 		InstancePeer peer() {
-			return new InstancePeer(new InstanceId(this.record.getInstance()), this.destination.address(),
-					new AvailabilityZoneId(this.record.getZone()));
+			return new InstancePeer(id(), this.destination.address(), new AvailabilityZoneId(this.record.getZone()));
 		}
 
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/OperatorFacts.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/OperatorFacts.java
@@ -1,10 +1,12 @@
 package io.wagtailmux.engine.control;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 import org.slf4j.Logger;
@@ -42,10 +44,10 @@
 	private Optional<ServingConfiguration> configuration = Optional.empty();
 
 	OperatorFacts(FactCodec codec, RowStore store, ScheduledExecutorService control, TimeSource time,
-			Runnable changed) {
+			Supplier<Duration> pauseAfterChange, Runnable changed) {
 		this.codec = codec;
 		this.changed = changed;
-		this.mirror = new TableMirror(codec.operatorTable(), store, control, time, this);
+		this.mirror = new TableMirror(codec.operatorTable(), store, control, time, pauseAfterChange, this);
 	}
 
 	void start() {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/ServingControl.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/ServingControl.java
@@ -1,6 +1,9 @@
 package io.wagtailmux.engine.control;
 
+import java.time.Duration;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
 
@@ -21,6 +24,13 @@
  */
 public final class ServingControl {
 
+	private static final int INSTANCES_WITHOUT_PAUSE = 13;
+
+	private static final Duration PAUSE_FOR_EACH_INSTANCE = Duration.ofMillis(8);
+
+	/** Changes must be in force within two seconds or more. */
+	private static final Duration LONGEST_PAUSE_AFTER_CHANGE = Duration.ofMillis(400);
+
 	private final ScheduledExecutorService control;
 
 	private final EndpointRegistry registry;
@@ -52,9 +62,11 @@
 			double exposureShare) {
 		this.control = control;
 		this.traffic = traffic;
-		this.registry = new EndpointRegistry(codec, store, control, time, this::schedulePublish);
-		this.operator = new OperatorFacts(codec, store, control, time, this::schedulePublish);
-		this.membership = new Membership(self, store, client, control, time, this::schedulePublish, this::heard);
+		this.registry = new EndpointRegistry(codec, store, control, time, this::pauseAfterChange,
+				this::schedulePublish);
+		this.operator = new OperatorFacts(codec, store, control, time, this::pauseAfterChange, this::schedulePublish);
+		this.membership = new Membership(self, store, client, control, time, this::schedulePublish, this::heard,
+				this::duties);
 		this.rollouts = new RolloutControl(new InstanceId(self.getInstance()), codec, store, this.operator,
 				this.membership, trials, exposureShare, control, time, this::schedulePublish);
 	}
@@ -78,6 +90,33 @@
 		this.control.execute(this.membership::leave);
 	}
 
+	/**
+	 * Returns how long changes of a table may collect. Calls are priced and grow with
+	 * instances times changes, so many instances hear of changes a little later.
+	 * @return the time after a change
+	 */
+	private Duration pauseAfterChange() {
+		int instances = this.membership.alive().size() + 1;
+		Duration pause = PAUSE_FOR_EACH_INSTANCE.multipliedBy(Math.max(0, instances - INSTANCES_WITHOUT_PAUSE));
+		return (pause.compareTo(LONGEST_PAUSE_AFTER_CHANGE) < 0) ? pause : LONGEST_PAUSE_AFTER_CHANGE;
+	}
+
+	/**
+	 * Names what one instance does for all: it owns a pool of stages or tells of a pool's
+	 * move to another version, by the pool's name.
+	 * @return the names
+	 */
+	private Set<String> duties() {
+		Set<String> duties = new HashSet<>();
+		this.operator.configuration().ifPresent((configuration) -> configuration.pools().forEach((id, pool) -> {
+			if (pool.batch().isPresent()) {
+				duties.add(id.value());
+			}
+		}));
+		this.operator.rollouts().values().forEach((order) -> duties.add(order.pool().value()));
+		return duties;
+	}
+
 	private void heard(PingMessage answer) {
 		this.rollouts.heard(answer);
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/TableMirror.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/TableMirror.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -50,6 +51,8 @@
 
 	private final Listener listener;
 
+	private final Supplier<Duration> pauseAfterChange;
+
 	private final Map<String, Long> versions = new HashMap<>();
 
 	private Duration pause = FIRST_PAUSE;
@@ -62,11 +65,23 @@
 
 	private long position;
 
-	TableMirror(String table, RowStore store, ScheduledExecutorService control, TimeSource time, Listener listener) {
+	/**
+	 * Creates a mirror that knows no rows yet.
+	 * @param table the table
+	 * @param store the store
+	 * @param control the control thread
+	 * @param time the clock
+	 * @param pauseAfterChange how long further changes may collect after one was told;
+	 * each change wakes every instance's call
+	 * @param listener hears of the rows
+	 */
+	TableMirror(String table, RowStore store, ScheduledExecutorService control, TimeSource time,
+			Supplier<Duration> pauseAfterChange, Listener listener) {
 		this.table = table;
 		this.store = store;
 		this.control = control;
 		this.time = time;
+		this.pauseAfterChange = pauseAfterChange;
 		this.listener = listener;
 	}
 
@@ -156,7 +171,11 @@
 		page.rows().forEach(this::take);
 		this.position = Math.max(this.position, page.version());
 		this.listener.caughtUp(this.position);
-		follow();
+		if (page.rows().isEmpty()) {
+			follow();
+			return;
+		}
+		this.control.schedule(this::follow, this.pauseAfterChange.get().toMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	/**
