A placement test set right that had not been run

With 3 MB of results elsewhere the engine beside them is the right choice (0.36 s of moving against 0.1 s of reading, as enginesAreChosenWhereLargeResultsLie holds), so the case now takes results of 0.5 MB elsewhere, which must not keep the requests apart, beside none and 3 MB at home. All tests of the module pass.

--- a/wagtailmux-decision/src/test/java/io/wagtailmux/decision/placement/PlacementTests.java
+++ b/wagtailmux-decision/src/test/java/io/wagtailmux/decision/placement/PlacementTests.java
@@ -143,7 +143,7 @@
 	 */
 	@Test
 	void requestsThatShareAPartMeetWhateverTheirResults() {
-		InputBytes near = new InputBytes(Map.of(NEAR, 3_000_000L));
+		InputBytes near = new InputBytes(Map.of(NEAR, 500_000L));
 		InputBytes far = new InputBytes(Map.of(FAR, 3_000_000L));
 		for (int part = 0; part < 30; part++) {
 			String shared = "part-" + part;
