Log and measure how long calls with pieces take, and their size

'batch ended' names the duration beside the expected one and the bytes sent; batch_time, batch_delay and batch_bytes_sent are the metrics.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/DecisionLog.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/DecisionLog.java
@@ -6,6 +6,7 @@
 import org.slf4j.LoggerFactory;
 
 import io.wagtailmux.decision.placement.Placement;
+import io.wagtailmux.decision.stage.BatchOutcome;
 import io.wagtailmux.decision.stage.PieceBatch;
 import io.wagtailmux.model.AttemptId;
 import io.wagtailmux.model.EndpointId;
@@ -117,6 +118,26 @@
 			.log("batch");
 	}
 
+	/**
+	 * Logs the end of the call for a batch of pieces. A call that takes much longer than
+	 * expected was delayed by its endpoint or on a network link.
+	 * @param batch the pieces and the endpoint
+	 * @param outcome how the call ended
+	 * @param took the duration of the call
+	 * @param expected the expected duration of a call with this number of pieces
+	 * @param sentBytes the size of the request's body
+	 */
+	public void batchEnded(PieceBatch batch, BatchOutcome outcome, Duration took, Duration expected, int sentBytes) {
+		LOG.atInfo()
+			.addKeyValue("endpoint", batch.endpoint())
+			.addKeyValue("pieces", batch.pieces().size())
+			.addKeyValue("outcome", outcome)
+			.addKeyValue("tookMs", took.toMillis())
+			.addKeyValue("expectedMs", expected.toMillis())
+			.addKeyValue("sentBytes", sentBytes)
+			.log("batch ended");
+	}
+
 	/**
 	 * Logs that the call for a batch of pieces failed.
 	 * @param batch the pieces and the endpoint
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineMetrics.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineMetrics.java
@@ -26,6 +26,12 @@
 
 	private final Histogram batchPieces;
 
+	private final Timer batchTime;
+
+	private final Timer batchDelay;
+
+	private final Counter batchBytes;
+
 	private final Counter calls;
 
 	private final Counter repeatedCalls;
@@ -43,6 +49,9 @@
 		this.requestTime = registry.timer("request_time");
 		this.firstByteTime = registry.timer("first_byte_time");
 		this.batchPieces = registry.histogram("batch_pieces");
+		this.batchTime = registry.timer("batch_time");
+		this.batchDelay = registry.timer("batch_delay");
+		this.batchBytes = registry.counter("batch_bytes_sent");
 		this.calls = registry.counter("endpoint_calls");
 		this.repeatedCalls = registry.counter("endpoint_calls_repeated");
 		this.abandonedRequests = registry.counter("requests_left_by_callers");
@@ -102,9 +111,21 @@
 	/**
 	 * Records a call that executes a batch of pieces.
 	 * @param pieces the number of pieces
+	 * @param sentBytes the size of the request's body
 	 */
-	public void recordBatch(int pieces) {
+	public void recordBatch(int pieces, int sentBytes) {
 		this.batchPieces.update(pieces);
+		this.batchBytes.inc(sentBytes);
+	}
+
+	/**
+	 * Records the end of a call that executes a batch of pieces.
+	 * @param took the duration of the call
+	 * @param expected the expected duration
+	 */
+	public void recordBatchEnd(Duration took, Duration expected) {
+		this.batchTime.update(took.toNanos(), TimeUnit.NANOSECONDS);
+		this.batchDelay.update(Math.max(0, took.minus(expected).toNanos()), TimeUnit.NANOSECONDS);
 	}
 
 	/**
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/OutgoingRequest.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/OutgoingRequest.java
@@ -67,6 +67,14 @@
 		return this.headers;
 	}
 
+	/**
+	 * Returns the size of the body.
+	 * @return the number of bytes
+	 */
+	public int bodyBytes() {
+		return this.body.readableBytes();
+	}
+
 	ByteBuf body() {
 		return this.body;
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/BatchCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/BatchCall.java
@@ -56,6 +56,8 @@
 
 	private Duration startedAt = Duration.ZERO;
 
+	private int sentBytes;
+
 	private EndpointAnswer answer;
 
 	BatchCall(EngineContext context, LiveEndpoint endpoint, PieceBatch batch, OutcomeListener listener) {
@@ -72,6 +74,7 @@
 			.pieces(this.endpoint.entry().id(), orders)
 			.timeout(timeout)
 			.build();
+		this.sentBytes = request.bodyBytes();
 		this.context.client().send(this.endpoint.destination(), request, this);
 	}
 
@@ -79,6 +82,14 @@
 		return this.batch;
 	}
 
+	/**
+	 * Returns the size of the request that was sent.
+	 * @return the bytes of its body
+	 */
+	int sentBytes() {
+		return this.sentBytes;
+	}
+
 	Duration elapsed(Duration now) {
 		return now.minus(this.startedAt);
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
@@ -138,8 +138,9 @@
 		}
 		LiveEndpoint endpoint = this.traffic.endpoint(batch.endpoint()).orElseThrow();
 		this.context.log().batch(this.traffic.pool().id(), batch);
-		this.context.metrics().recordBatch(batch.pieces().size());
-		new BatchCall(this.context, endpoint, batch, this::onBatchEnded).send(orders, this.capacity);
+		BatchCall call = new BatchCall(this.context, endpoint, batch, this::onBatchEnded);
+		call.send(orders, this.capacity);
+		this.context.metrics().recordBatch(batch.pieces().size(), call.sentBytes());
 	}
 
 	private void scheduleInputRelease(OwnedGroup owned) {
@@ -153,6 +154,9 @@
 	private void onBatchEnded(BatchCall call, BatchOutcome batchOutcome, List<PieceOutcome> pieceOutcomes) {
 		Duration now = now();
 		PieceBatch batch = call.batch();
+		Duration expected = this.capacity.expectedTime(batch.pieces().size());
+		this.context.log().batchEnded(batch, batchOutcome, call.elapsed(now), expected, call.sentBytes());
+		this.context.metrics().recordBatchEnd(call.elapsed(now), expected);
 		boolean noRoomForAny = !pieceOutcomes.isEmpty() && pieceOutcomes.stream().allMatch(OwnedPool::isNoRoom);
 		this.planner.onBatchEnded(batch, noRoomForAny ? BatchOutcome.REFUSED : batchOutcome, call.elapsed(now), now);
 		for (int index = 0; index < batch.pieces().size(); index++) {
