--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/RendezvousHash.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/RendezvousHash.java
@@ -46,4 +46,16 @@
 		return ((of(key, candidate) & UNSIGNED_INT_MASK) + 0.5) / (UNSIGNED_INT_MASK + 1);
 	}
 
+	/**
+	 * Returns the score of a candidate with a weight: over many keys, candidates have the
+	 * highest score in proportion to their weights.
+	 * @param key the key to place; its {@code toString()} is hashed
+	 * @param candidate a possible owner of the key; its {@code toString()} is hashed
+	 * @param weight the weight, greater than zero
+	 * @return a positive number
+	 */
+	public static double weightedScore(Object key, Object candidate, double weight) {
+		return -weight / Math.log(fraction(key, candidate));
+	}
+
 }
--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/membership/HeartbeatSchedule.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/membership/HeartbeatSchedule.java
@@ -6,8 +6,9 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 
-import io.wagtailmux.decision.RendezvousHash;
+import io.wagtailmux.decision.ownership.DutyCandidate;
 import io.wagtailmux.model.InstanceId;
 
 /**
@@ -34,7 +35,7 @@
 
 	private int rotationIndex;
 
-	private List<InstanceId> rankedOthers = List.of();
+	private List<DutyCandidate> rankedOthers = List.of();
 
 	private Set<String> rankedDuties = Set.of();
 
@@ -46,9 +47,9 @@
 	 * @param duties the names of the tasks that one instance performs for all
 	 * @return the instances to contact
 	 */
-	public Set<InstanceId> nextRound(List<InstanceId> others, Set<String> duties) {
+	public Set<InstanceId> nextRound(List<DutyCandidate> others, Set<String> duties) {
 		Set<InstanceId> contacted = new LinkedHashSet<>(contactedEveryRound(others, duties));
-		List<InstanceId> rest = new ArrayList<>(others);
+		List<InstanceId> rest = new ArrayList<>(others.stream().map(DutyCandidate::id).toList());
 		rest.removeAll(contacted);
 		rest.sort(Comparator.comparing(InstanceId::value));
 		int count = Math.min(ROTATION_INSTANCES_PER_ROUND, rest.size());
@@ -67,11 +68,11 @@
 	 * owner and the successor unless this instance is one of them; all of the others if
 	 * there are at most twelve
 	 */
-	public Set<InstanceId> contactedEveryRound(List<InstanceId> others, Set<String> duties) {
+	public Set<InstanceId> contactedEveryRound(List<DutyCandidate> others, Set<String> duties) {
 		if (!others.equals(this.rankedOthers) || !duties.equals(this.rankedDuties)) {
 			this.rankedOthers = List.copyOf(others);
 			this.rankedDuties = Set.copyOf(duties);
-			this.everyRound = (others.size() <= ROTATION_INSTANCES_PER_ROUND) ? Set.copyOf(others)
+			this.everyRound = (others.size() <= ROTATION_INSTANCES_PER_ROUND) ? ids(others)
 					: ownersAndSuccessors(others, duties);
 		}
 		return this.everyRound;
@@ -91,15 +92,15 @@
 		return everyRoundLimit.plus(interval.multipliedBy(2L * Math.max(0, rounds - 1)));
 	}
 
-	private static Set<InstanceId> ownersAndSuccessors(List<InstanceId> others, Set<String> duties) {
-		Set<InstanceId> selected = new LinkedHashSet<>();
-		for (String duty : duties) {
-			others.stream()
-				.sorted(Comparator.comparingInt((InstanceId other) -> RendezvousHash.of(duty, other)).reversed())
-				.limit(INSTANCES_PER_DUTY)
-				.forEach(selected::add);
-		}
-		return selected;
+	private static Set<InstanceId> ids(List<DutyCandidate> candidates) {
+		return candidates.stream().map(DutyCandidate::id).collect(Collectors.toUnmodifiableSet());
+	}
+
+	private static Set<InstanceId> ownersAndSuccessors(List<DutyCandidate> others, Set<String> duties) {
+		return duties.stream()
+			.flatMap((duty) -> DutyCandidate.first(others, duty, INSTANCES_PER_DUTY).stream())
+			.map(DutyCandidate::id)
+			.collect(Collectors.toUnmodifiableSet());
 	}
 
 }
--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/placement/HomeZone.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/placement/HomeZone.java
@@ -34,12 +34,9 @@
 			.flatMap((part) -> weights.entrySet()
 				.stream()
 				.filter((entry) -> entry.getValue() > 0)
-				.max(Comparator.comparingDouble((entry) -> score(part.id(), entry.getKey(), entry.getValue())))
+				.max(Comparator.comparingDouble(
+						(entry) -> RendezvousHash.weightedScore(part.id(), entry.getKey(), entry.getValue())))
 				.map(Map.Entry::getKey));
 	}
 
-	private static double score(String part, AvailabilityZoneId zone, int weight) {
-		return -weight / Math.log(RendezvousHash.fraction(part, zone));
-	}
-
 }
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
@@ -22,6 +22,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.wagtailmux.decision.ownership.DutyCandidate;
 import io.wagtailmux.engine.control.ServingControl;
 import io.wagtailmux.engine.front.CallerConnections;
 import io.wagtailmux.engine.front.HttpListener;
@@ -123,7 +124,8 @@
 			Function<HttpClient, RowStore> store) {
 		this.settings = settings;
 		HttpClient client = new HttpClient(this.traffic, this.time);
-		ServingState state = new ServingState(settings.instance(), settings.limits(), this.time);
+		ServingState state = new ServingState(new DutyCandidate(settings.instance(), settings.capacity()),
+				settings.limits(), this.time);
 		this.context = new EngineContext(client, this.time, state, callers, endpoints, settings.zone(),
 				new SplittableRandom(), new EngineMetrics(new MetricRegistry()));
 		this.localPieces = new LocalPieceService(this.context);
@@ -131,7 +133,9 @@
 		this.context.pieces(this.router);
 		this.connections = new CallerConnections(this.context);
 		this.self = new InstanceRecordMessage(settings.instance().value(), settings.peers().getHostString(),
-				settings.peers().getPort(), settings.zone().value(), this.time.instant().toEpochMilli());
+				settings.peers().getPort(), settings.zone().value(), this.time.instant().toEpochMilli())
+			.setCores(settings.capacity().cores())
+			.setLinkMegabits(settings.capacity().linkMegabits());
 		this.control = new ServingControl(this.self, facts, store.apply(client), client, this.controlThread, this.time,
 				(view) -> this.traffic.execute(() -> applyView(view)),
 				(consumer) -> this.traffic.execute(() -> consumer.accept(state.trialReports())),
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineSettings.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 
+import io.wagtailmux.decision.ownership.InstanceCapacity;
 import io.wagtailmux.engine.state.SharedLimits;
 import io.wagtailmux.model.AvailabilityZoneId;
 import io.wagtailmux.model.InstanceId;
@@ -19,11 +20,12 @@
  * connect to, so it must not be a wildcard address
  * @param metrics the listen address for metrics
  * @param limits the limits that all instances share
+ * @param capacity the resources of the machine
  * @param grace the time from the stop signal to the forced kill of the process
  * @author the wagtailmux developers
  */
 public record EngineSettings(InstanceId instance, AvailabilityZoneId zone, InetSocketAddress callers,
 		InetSocketAddress readiness, String readinessPath, InetSocketAddress peers, InetSocketAddress metrics,
-		SharedLimits limits, Duration grace) {
+		SharedLimits limits, InstanceCapacity capacity, Duration grace) {
 
 }
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/EndpointRegistry.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/EndpointRegistry.java
@@ -15,6 +15,7 @@
 import io.wagtailmux.engine.port.RowStore;
 import io.wagtailmux.engine.port.StoredRow;
 import io.wagtailmux.model.EndpointId;
+import io.wagtailmux.model.PoolId;
 import io.wagtailmux.model.TimeSource;
 import io.wagtailmux.model.serving.RegisteredEndpoint;
 
@@ -75,6 +76,18 @@
 		return byId;
 	}
 
+	/**
+	 * Counts the registered endpoints of a pool.
+	 * @param pool the pool
+	 * @return the number of those that are not draining
+	 */
+	int endpointsOf(PoolId pool) {
+		return (int) this.entries.values()
+			.stream()
+			.filter((entry) -> entry.pool().equals(pool) && !entry.draining())
+			.count();
+	}
+
 	@Override
 	public void onRowChanged(StoredRow row) {
 		this.missingAtVersion.remove(row.key());
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Membership.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Membership.java
@@ -18,6 +18,8 @@
 import org.slf4j.LoggerFactory;
 
 import io.wagtailmux.decision.membership.HeartbeatSchedule;
+import io.wagtailmux.decision.ownership.DutyCandidate;
+import io.wagtailmux.decision.ownership.InstanceCapacity;
 import io.wagtailmux.engine.http.HttpClient;
 import io.wagtailmux.engine.http.HttpDestination;
 import io.wagtailmux.engine.http.OutgoingRequest;
@@ -165,7 +167,7 @@
 	 */
 	List<InstancePeer> alive() {
 		Duration now = this.time.elapsed();
-		List<InstanceId> others = others();
+		List<DutyCandidate> others = others();
 		Set<InstanceId> contactedEveryRound = this.schedule.contactedEveryRound(others, this.duties.get());
 		Duration rotationLimit = HeartbeatSchedule.rotationSilenceLimit(others.size(), SILENCE_LIMIT,
 				HEARTBEAT_INTERVAL);
@@ -190,12 +192,12 @@
 		return (int) this.known.values().stream().filter((instance) -> !isSelf(instance)).count() + 1;
 	}
 
-	private List<InstanceId> others() {
+	private List<DutyCandidate> others() {
 		return this.known.values()
 			.stream()
 			.filter((instance) -> !isSelf(instance))
-			.map(KnownInstance::id)
-			.sorted(Comparator.comparing(InstanceId::value))
+			.map(KnownInstance::candidate)
+			.sorted(Comparator.comparing((candidate) -> candidate.id().value()))
 			.toList();
 	}
 
@@ -358,6 +360,8 @@
 
 		private final HttpDestination destination;
 
+		private final InstanceCapacity capacity;
+
 		private Duration answeredAt;
 
 		private long rowVersion;
@@ -368,6 +372,8 @@
 
 		KnownInstance(InstanceRecordMessage record, Duration now) {
 			this.record = record;
+			this.capacity = (record.getCores() > 0 && record.getLinkMegabits() > 0)
+					? new InstanceCapacity(record.getCores(), record.getLinkMegabits()) : InstanceCapacity.DEFAULT;
 			this.destination = new HttpDestination(new InetSocketAddress(record.getHost(), record.getPort()));
 			// A row does not show that the instance is still alive. Until it has answered
 			// once, it does not count as alive if it is contacted in every round; the
@@ -375,12 +381,17 @@
 			this.answeredAt = now.minus(SILENCE_LIMIT);
 		}
 
+		DutyCandidate candidate() {
+			return new DutyCandidate(id(), this.capacity);
+		}
+
 		InstanceId id() {
 			return new InstanceId(this.record.getInstance());
 		}
 
 		InstancePeer peer() {
-			return new InstancePeer(id(), this.destination.address(), new AvailabilityZoneId(this.record.getZone()));
+			return new InstancePeer(id(), this.destination.address(), new AvailabilityZoneId(this.record.getZone()),
+					this.capacity);
 		}
 
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/RolloutControl.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/RolloutControl.java
@@ -11,7 +11,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import io.wagtailmux.decision.RendezvousHash;
+import io.wagtailmux.decision.ownership.DutyCandidate;
 import io.wagtailmux.engine.peer.TrialMessages;
 import io.wagtailmux.engine.port.FactCodec;
 import io.wagtailmux.engine.port.OperatorFact;
@@ -25,7 +25,6 @@
 import io.wagtailmux.engine.state.TrialPhase;
 import io.wagtailmux.engine.state.TrialReport;
 import io.wagtailmux.engine.state.VersionTrial;
-import io.wagtailmux.model.InstanceId;
 import io.wagtailmux.model.PoolId;
 import io.wagtailmux.model.TimeSource;
 import io.wagtailmux.peer.wire.PingMessage;
@@ -58,7 +57,7 @@
 	 */
 	private static final Duration READ_INTERVAL = Duration.ofSeconds(1);
 
-	private final InstanceId self;
+	private final DutyCandidate self;
 
 	private final FactCodec codec;
 
@@ -86,7 +85,7 @@
 
 	private boolean callPending;
 
-	RolloutControl(InstanceId self, FactCodec codec, RowStore store, OperatorFacts operator, Membership membership,
+	RolloutControl(DutyCandidate self, FactCodec codec, RowStore store, OperatorFacts operator, Membership membership,
 			TrialSource ownTraffic, double exposureShare, ScheduledExecutorService control, TimeSource time,
 			Runnable onChange) {
 		this.self = self;
@@ -147,7 +146,7 @@
 		if (this.rollouts.isEmpty()) {
 			return;
 		}
-		this.ownTraffic.collect((reports) -> this.control.execute(() -> addReports(this.self.value(), reports)));
+		this.ownTraffic.collect((reports) -> this.control.execute(() -> addReports(this.self.id().value(), reports)));
 		if (this.callPending) {
 			return;
 		}
@@ -183,12 +182,11 @@
 	}
 
 	private boolean isStatusWriter(Rollout rollout) {
-		PoolId pool = rollout.order().pool();
-		int ownHash = RendezvousHash.of(pool, this.self);
+		String duty = rollout.order().pool().value();
 		return this.membership.alive()
 			.stream()
-			.map(InstancePeer::id)
-			.noneMatch((peer) -> RendezvousHash.of(pool, peer) > ownHash);
+			.map(InstancePeer::candidate)
+			.noneMatch((peer) -> this.self.yieldsTo(peer, duty));
 	}
 
 	private void readStatus() {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/ServingControl.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/ServingControl.java
@@ -2,17 +2,22 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
 
+import io.wagtailmux.decision.ownership.DutyCandidate;
+import io.wagtailmux.decision.ownership.InstanceCapacity;
+import io.wagtailmux.decision.ownership.PoolShards;
 import io.wagtailmux.engine.http.HttpClient;
 import io.wagtailmux.engine.port.FactCodec;
 import io.wagtailmux.engine.port.RowStore;
 import io.wagtailmux.engine.state.ServingView;
 import io.wagtailmux.model.InstanceId;
 import io.wagtailmux.model.TimeSource;
+import io.wagtailmux.model.serving.ServingConfiguration;
 import io.wagtailmux.peer.wire.InstanceRecordMessage;
 import io.wagtailmux.peer.wire.PingMessage;
 
@@ -47,6 +52,8 @@
 
 	private final Consumer<ServingView> viewListener;
 
+	private Set<String> duties = Set.of();
+
 	private boolean publishScheduled;
 
 	/**
@@ -71,9 +78,12 @@
 				this::schedulePublish);
 		this.operator = new OperatorFacts(codec, store, control, time, this::pauseAfterChange, this::schedulePublish);
 		this.membership = new Membership(self, store, client, control, time, this::schedulePublish,
-				this::onHeartbeatAnswer, this::duties);
-		this.rollouts = new RolloutControl(new InstanceId(self.getInstance()), codec, store, this.operator,
-				this.membership, trials, exposureShare, control, time, this::schedulePublish);
+				this::onHeartbeatAnswer, () -> this.duties);
+		this.rollouts = new RolloutControl(
+				new DutyCandidate(new InstanceId(self.getInstance()),
+						new InstanceCapacity(self.getCores(), self.getLinkMegabits())),
+				codec, store, this.operator, this.membership, trials, exposureShare, control, time,
+				this::schedulePublish);
 	}
 
 	/**
@@ -111,17 +121,19 @@
 	}
 
 	/**
-	 * Returns the duties that one instance performs for all: owning a pool that runs
-	 * stages in batches, or writing the status of a pool's rollout.
-	 * @return the names of the duties, which are the ids of the pools
+	 * Determines the duties that one instance performs for all: owning a shard of a pool
+	 * that runs stages in batches, or writing the status of a pool's rollout.
+	 * @return the names of the duties
 	 */
-	private Set<String> duties() {
+	private Set<String> findDuties() {
 		Set<String> duties = new HashSet<>();
-		this.operator.configuration().ifPresent((configuration) -> configuration.pools().forEach((id, pool) -> {
-			if (pool.batch().isPresent()) {
-				duties.add(id.value());
-			}
-		}));
+		this.operator.configuration()
+			.map(ServingConfiguration::pools)
+			.orElse(Map.of())
+			.forEach((id, pool) -> pool.batch()
+				.map((capacity) -> PoolShards.divide(id, this.registry.endpointsOf(id), capacity))
+				.orElse(List.of())
+				.forEach((shard) -> duties.add(shard.duty())));
 		this.operator.rollouts().values().forEach((order) -> duties.add(order.pool().value()));
 		return duties;
 	}
@@ -139,6 +151,7 @@
 
 	private void publish() {
 		this.publishScheduled = false;
+		this.duties = findDuties();
 		if (!this.registry.complete()) {
 			return;
 		}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PeerHandler.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PeerHandler.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 
+import io.wagtailmux.decision.ownership.PoolShard;
 import io.wagtailmux.engine.port.ProtocolException;
 import io.wagtailmux.engine.port.ResultHandle;
 import io.wagtailmux.engine.stage.LocalPieceService;
@@ -95,14 +96,14 @@
 
 	private void submitPieces(ChannelHandlerContext context, PieceGroupMessage message) {
 		PieceGroup group = PieceMessages.group(message);
-		PoolId pool = new PoolId(message.getPool());
-		this.cancellation = this.pieceService.submit(pool, group, (result) -> {
+		PoolShard shard = PieceMessages.shard(message);
+		this.cancellation = this.pieceService.submit(shard, group, (result) -> {
 			this.cancellation = NO_ACTION;
 			if (context.channel().isActive()) {
 				write(context, HttpResponseStatus.OK, ThriftCodec.encode(PieceMessages.result(result)));
 				return;
 			}
-			this.pieceService.free(pool, result.handles());
+			this.pieceService.free(shard.pool(), result.handles());
 		});
 	}
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PieceMessages.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PieceMessages.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import io.wagtailmux.decision.ownership.PoolShard;
 import io.wagtailmux.engine.port.PieceFailure;
 import io.wagtailmux.engine.port.PieceOutcome;
 import io.wagtailmux.engine.port.ProtocolErrorCode;
@@ -33,17 +34,27 @@
 	private PieceMessages() {
 	}
 
-	static PieceGroupMessage message(PoolId pool, PieceGroup group) {
-		PieceGroupMessage message = new PieceGroupMessage(pool.value(), group.attempt().value(), group.stage(),
+	static PieceGroupMessage message(PoolShard shard, PieceGroup group) {
+		PieceGroupMessage message = new PieceGroupMessage(shard.pool().value(), group.attempt().value(), group.stage(),
 				group.pieces(), group.inputs().stream().map(ResultHandle::value).toList(), group.priority(),
 				group.remaining().toNanos() / NANOSECONDS_PER_MICROSECOND,
 				group.slack().toNanos() / NANOSECONDS_PER_MICROSECOND, group.resultBytes());
+		message.setShard(shard.index());
 		group.key().ifPresent(message::setKey);
 		group.releasableInputPool().ifPresent((inputPool) -> message.setInputsFreedAt(inputPool.value()));
 		group.home().ifPresent((home) -> message.setHomeZone(home.value()));
 		return message;
 	}
 
+	/**
+	 * Returns the shard that a group was sent to.
+	 * @param message the group
+	 * @return the shard; the first one of the pool if the message names none
+	 */
+	static PoolShard shard(PieceGroupMessage message) {
+		return new PoolShard(new PoolId(message.getPool()), message.getShard());
+	}
+
 	static PieceGroup group(PieceGroupMessage message) {
 		return new PieceGroup(new AttemptId(message.getAttempt()), message.getStage(), message.getPieces(),
 				Optional.ofNullable(message.getKey()), message.getInputs().stream().map(ResultHandle::new).toList(),
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PieceRouter.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PieceRouter.java
@@ -9,10 +9,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import io.netty.handler.codec.http.HttpMethod;
 
-import io.wagtailmux.decision.RendezvousHash;
+import io.wagtailmux.decision.ownership.PoolShard;
+import io.wagtailmux.decision.ownership.PoolShards;
 import io.wagtailmux.engine.EngineContext;
 import io.wagtailmux.engine.http.ClientCall;
 import io.wagtailmux.engine.http.HttpDestination;
@@ -24,20 +26,20 @@
 import io.wagtailmux.engine.stage.PieceGroupResult;
 import io.wagtailmux.engine.stage.PieceService;
 import io.wagtailmux.engine.state.InstancePeer;
+import io.wagtailmux.engine.state.PoolTraffic;
 import io.wagtailmux.model.InstanceId;
 import io.wagtailmux.model.PoolId;
 import io.wagtailmux.peer.wire.FreeResultsMessage;
 import io.wagtailmux.peer.wire.PieceGroupResultMessage;
 
 /**
- * Sends groups of pieces, and releases of results, to the instance that owns the pool.
- * This instance performs them itself if it is the owner or cannot reach the owner. Used
- * on the traffic thread only.
+ * Chooses a shard of the pool for each group of pieces, and sends groups and releases of
+ * results to the instance that owns the shard. This instance performs them itself if it
+ * is the owner or cannot reach the owner. Used on the traffic thread only.
  *
  * <p>
- * The owner of a pool is the live instance with the highest rendezvous hash. An instance
- * that stops responding is missing in the next serving view and so loses its pools;
- * groups that were sent to it are sent to the next owner.
+ * An instance that stops responding is missing in the next serving view and so loses its
+ * shards; groups that were sent to it are sent to the next owner.
  *
  * @author the wagtailmux developers
  */
@@ -51,7 +53,9 @@
 
 	private final Map<InstanceId, HttpDestination> destinations = new HashMap<>();
 
-	private final Map<PoolId, Duration> expectedWaits = new HashMap<>();
+	private final ShardOwners owners;
+
+	private final ReportedWaits waits = new ReportedWaits();
 
 	private final Set<RemoteGroup> pending = new HashSet<>();
 
@@ -64,18 +68,29 @@
 	public PieceRouter(EngineContext context, LocalPieceService local) {
 		this.context = context;
 		this.local = local;
+		this.owners = new ShardOwners(context.state());
 	}
 
 	@Override
 	public Runnable submit(PoolId pool, PieceGroup group, Consumer<PieceGroupResult> done) {
-		RemoteGroup remote = new RemoteGroup(pool, group, done);
+		RemoteGroup remote = new RemoteGroup(shardForNewWork(pool), group, done);
 		remote.send();
 		return remote::cancel;
 	}
 
 	@Override
 	public void free(PoolId pool, List<ResultHandle> handles) {
-		Optional<InstancePeer> owner = owner(pool);
+		handles.stream().collect(Collectors.groupingBy((handle) -> shardOf(pool, handle))).forEach(this::freeAtOwner);
+	}
+
+	@Override
+	public Duration expectedWait(PoolId pool) {
+		return shards(pool).map((shards) -> shards.meanWait(this::expectedWait)).orElse(Duration.ZERO);
+	}
+
+	private void freeAtOwner(PoolShard shard, List<ResultHandle> handles) {
+		PoolId pool = shard.pool();
+		Optional<InstancePeer> owner = this.owners.owner(shard);
 		if (owner.isEmpty()) {
 			this.local.free(pool, handles);
 			return;
@@ -90,10 +105,32 @@
 		}, (reason) -> this.local.free(pool, handles)));
 	}
 
-	@Override
-	public Duration expectedWait(PoolId pool) {
-		return owner(pool).isEmpty() ? this.local.expectedWait(pool)
-				: this.expectedWaits.getOrDefault(pool, Duration.ZERO);
+	private Duration expectedWait(PoolShard shard) {
+		return this.owners.owner(shard).isEmpty() ? this.local.expectedWait(shard)
+				: this.waits.expectedWait(shard, this.context.time().elapsed());
+	}
+
+	private Optional<PoolShards> shards(PoolId pool) {
+		return this.context.state().pool(pool).flatMap(PoolTraffic::shards);
+	}
+
+	private PoolShard shardForNewWork(PoolId pool) {
+		return shards(pool).map((shards) -> shards.choose(this.context.random(), this::expectedWait))
+			.orElseGet(() -> new PoolShard(pool, 0));
+	}
+
+	/**
+	 * Returns the shard whose owner tracks a result.
+	 * @param pool the pool whose endpoint keeps the result
+	 * @param handle the result
+	 * @return the shard of the endpoint; the first one if the endpoint is unknown
+	 */
+	private PoolShard shardOf(PoolId pool, ResultHandle handle) {
+		return this.context.endpoints()
+			.location(handle)
+			.flatMap(this.context.state()::endpointAt)
+			.flatMap((endpoint) -> shards(pool).map((shards) -> shards.shardOf(endpoint.id())))
+			.orElseGet(() -> new PoolShard(pool, 0));
 	}
 
 	/**
@@ -110,19 +147,6 @@
 		}
 	}
 
-	private Optional<InstancePeer> owner(PoolId pool) {
-		int highestHash = RendezvousHash.of(pool, this.context.state().self());
-		InstancePeer owner = null;
-		for (InstancePeer peer : this.context.state().view().peers()) {
-			int hash = RendezvousHash.of(pool, peer.id());
-			if (hash > highestHash) {
-				highestHash = hash;
-				owner = peer;
-			}
-		}
-		return Optional.ofNullable(owner);
-	}
-
 	private HttpDestination destination(InstancePeer peer) {
 		HttpDestination destination = this.destinations.get(peer.id());
 		if (destination == null || !destination.address().equals(peer.address())) {
@@ -133,13 +157,13 @@
 	}
 
 	/**
-	 * A submitted group of pieces. It is sent to the owner of its pool, and to the next
+	 * A submitted group of pieces. It is sent to the owner of its shard, and to the next
 	 * owner if that one fails. This instance executes the group if it is the owner
 	 * itself, or if the failed instance is still the owner by the newest view.
 	 */
 	private final class RemoteGroup {
 
-		private final PoolId pool;
+		private final PoolShard shard;
 
 		private final PieceGroup group;
 
@@ -157,27 +181,28 @@
 
 		private boolean ended;
 
-		RemoteGroup(PoolId pool, PieceGroup group, Consumer<PieceGroupResult> done) {
-			this.pool = pool;
+		RemoteGroup(PoolShard shard, PieceGroup group, Consumer<PieceGroupResult> done) {
+			this.shard = shard;
 			this.group = group;
 			this.done = done;
 		}
 
 		void send() {
-			Optional<InstancePeer> found = this.runLocally ? Optional.empty() : owner(this.pool);
+			Optional<InstancePeer> found = this.runLocally ? Optional.empty()
+					: PieceRouter.this.owners.owner(this.shard);
 			PieceGroup current = groupAsOfNow();
 			if (current.remaining().isNegative()) {
 				finish(PieceGroupResult.failed(this.group, PieceFailure.LATE, Duration.ZERO));
 				return;
 			}
 			if (found.isEmpty()) {
-				this.localCancellation = PieceRouter.this.local.submit(this.pool, current, this::finish);
+				this.localCancellation = PieceRouter.this.local.submit(this.shard, current, this::finish);
 				return;
 			}
 			this.owner = found.get();
 			PieceRouter.this.pending.add(this);
 			OutgoingRequest request = OutgoingRequest.of(HttpMethod.POST, PeerPath.PIECES.path())
-				.body(ThriftCodec.encode(PieceMessages.message(this.pool, current)))
+				.body(ThriftCodec.encode(PieceMessages.message(this.shard, current)))
 				.timeout(current.remaining())
 				.build();
 			this.call = PieceRouter.this.context.client()
@@ -208,7 +233,9 @@
 			if (this.call != null) {
 				this.call.cancel();
 			}
-			this.runLocally = owner(this.pool).map((next) -> next.equals(this.owner)).orElse(true);
+			this.runLocally = PieceRouter.this.owners.owner(this.shard)
+				.map((next) -> next.equals(this.owner))
+				.orElse(true);
 			send();
 		}
 
@@ -218,7 +245,7 @@
 			}
 			this.ended = true;
 			PieceRouter.this.pending.remove(this);
-			PieceRouter.this.expectedWaits.put(this.pool, result.expectedWait());
+			PieceRouter.this.waits.report(this.shard, result.expectedWait(), now());
 			this.done.accept(result);
 		}
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/LocalPieceService.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/LocalPieceService.java
@@ -14,6 +14,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 
+import io.wagtailmux.decision.ownership.PoolShard;
 import io.wagtailmux.engine.EngineContext;
 import io.wagtailmux.engine.http.CallFailure;
 import io.wagtailmux.engine.http.HttpDestination;
@@ -23,17 +24,19 @@
 import io.wagtailmux.engine.port.ResultHandle;
 import io.wagtailmux.engine.state.LiveEndpoint;
 import io.wagtailmux.engine.state.PoolTraffic;
+import io.wagtailmux.engine.state.ServingState;
 import io.wagtailmux.model.PoolId;
 import io.wagtailmux.model.serving.BatchCapacity;
 
 /**
- * Executes pieces at the endpoints of their pool: of the pools that this instance owns,
- * and of pools whose owner it cannot reach. Ownership needs no lease: if two instances
- * act as the owner of a pool, a piece may be executed twice and batches are smaller.
+ * Executes pieces at the endpoints of their pool: of the shards that this instance owns,
+ * and of shards whose owner it cannot reach. Ownership needs no lease: if two instances
+ * act as the owner of a shard, a piece may be executed twice and batches are smaller. All
+ * methods run on the traffic thread.
  *
  * @author the wagtailmux developers
  */
-public final class LocalPieceService implements PieceService {
+public final class LocalPieceService {
 
 	/**
 	 * Time for which results are collected to be released in one call; short, since the
@@ -45,7 +48,7 @@
 
 	private final EngineContext context;
 
-	private final Map<PoolId, OwnedPool> pools = new HashMap<>();
+	private final Map<PoolShard, OwnedPool> pools = new HashMap<>();
 
 	private final Map<InetSocketAddress, List<ReleasedResult>> pendingReleases = new HashMap<>();
 
@@ -59,9 +62,15 @@
 		this.context = context;
 	}
 
-	@Override
-	public Runnable submit(PoolId pool, PieceGroup group, Consumer<PieceGroupResult> done) {
-		Optional<OwnedPool> owned = ownedPool(pool);
+	/**
+	 * Submits a group of pieces, as {@link PieceService#submit} does.
+	 * @param shard the shard whose endpoints execute them
+	 * @param group the pieces
+	 * @param done accepts the result once
+	 * @return cancels the group when run
+	 */
+	public Runnable submit(PoolShard shard, PieceGroup group, Consumer<PieceGroupResult> done) {
+		Optional<OwnedPool> owned = ownedPool(shard);
 		if (owned.isEmpty()) {
 			done.accept(PieceGroupResult.failed(group, PieceFailure.UNREACHABLE, Duration.ZERO));
 			return () -> {
@@ -70,7 +79,11 @@
 		return owned.get().submit(group, done);
 	}
 
-	@Override
+	/**
+	 * Releases results, as {@link PieceService#free} does.
+	 * @param pool the pool whose endpoints keep the results
+	 * @param handles the results
+	 */
 	public void free(PoolId pool, List<ResultHandle> handles) {
 		for (ResultHandle handle : handles) {
 			this.context.endpoints()
@@ -84,9 +97,13 @@
 		}
 	}
 
-	@Override
-	public Duration expectedWait(PoolId pool) {
-		OwnedPool owned = this.pools.get(pool);
+	/**
+	 * Returns the expected wait of a new piece at a shard that this instance owns.
+	 * @param shard the shard
+	 * @return the estimate; zero if no piece was submitted to the shard yet
+	 */
+	public Duration expectedWait(PoolShard shard) {
+		OwnedPool owned = this.pools.get(shard);
 		return (owned != null) ? owned.expectedWait() : Duration.ZERO;
 	}
 
@@ -98,20 +115,28 @@
 		this.pools.values().forEach(OwnedPool::onEndpointsChanged);
 	}
 
-	private Optional<OwnedPool> ownedPool(PoolId pool) {
-		Optional<PoolTraffic> traffic = this.context.state().pool(pool);
+	private Optional<OwnedPool> ownedPool(PoolShard shard) {
+		Optional<PoolTraffic> traffic = this.context.state().pool(shard.pool());
 		Optional<BatchCapacity> capacity = traffic.flatMap((found) -> found.pool().batch());
 		if (capacity.isEmpty()) {
 			return Optional.empty();
 		}
-		OwnedPool owned = this.pools.get(pool);
+		OwnedPool owned = this.pools.get(shard);
 		if (owned == null || !owned.capacity().equals(capacity.get())) {
-			owned = new OwnedPool(this.context, traffic.get(), capacity.get());
-			this.pools.put(pool, owned);
+			owned = new OwnedPool(this.context, traffic.get(), shard, capacity.get());
+			this.pools.put(shard, owned);
 		}
 		return Optional.of(owned);
 	}
 
+	private void onResultsFreed(PoolId pool, List<ResultHandle> handles) {
+		this.pools.forEach((shard, owned) -> {
+			if (shard.pool().equals(pool)) {
+				owned.onResultsFreed(handles);
+			}
+		});
+	}
+
 	private void sendReleases() {
 		this.releaseScheduled = false;
 		Map<InetSocketAddress, List<ReleasedResult>> released = Map.copyOf(this.pendingReleases);
@@ -124,14 +149,11 @@
 	}
 
 	private HttpDestination destination(InetSocketAddress address) {
-		for (PoolTraffic traffic : this.context.state().pools()) {
-			for (LiveEndpoint endpoint : traffic.endpoints()) {
-				if (endpoint.entry().address().equals(address)) {
-					return endpoint.destination();
-				}
-			}
-		}
-		return new HttpDestination(address);
+		ServingState state = this.context.state();
+		return state.endpointAt(address)
+			.flatMap((entry) -> state.pool(entry.pool()).flatMap((pool) -> pool.endpoint(entry.id())))
+			.map(LiveEndpoint::destination)
+			.orElseGet(() -> new HttpDestination(address));
 	}
 
 	/**
@@ -175,7 +197,7 @@
 			this.results.stream()
 				.collect(Collectors.groupingBy(ReleasedResult::pool,
 						Collectors.mapping(ReleasedResult::handle, Collectors.toList())))
-				.forEach((pool, handles) -> ownedPool(pool).ifPresent((owned) -> owned.onResultsFreed(handles)));
+				.forEach(LocalPieceService.this::onResultsFreed);
 		}
 
 		@Override
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
@@ -13,6 +13,7 @@
 
 import io.netty.util.concurrent.Future;
 
+import io.wagtailmux.decision.ownership.PoolShard;
 import io.wagtailmux.decision.stage.BatchOutcome;
 import io.wagtailmux.decision.stage.BatchPlanner;
 import io.wagtailmux.decision.stage.PieceBatch;
@@ -30,8 +31,8 @@
 import io.wagtailmux.model.serving.BatchCapacity;
 
 /**
- * Queue of the pieces of one stage pool, which this instance sends to the endpoints of
- * the pool in batches. Used on the traffic thread only.
+ * Queue of the pieces of one shard of a stage pool, which this instance sends to the
+ * endpoints of the shard in batches. Used on the traffic thread only.
  *
  * @author the wagtailmux developers
  */
@@ -49,6 +50,8 @@
 
 	private final PoolTraffic traffic;
 
+	private final PoolShard shard;
+
 	private final BatchCapacity capacity;
 
 	private final BatchPlanner planner;
@@ -59,12 +62,14 @@
 
 	private Future<?> sweep;
 
-	OwnedPool(EngineContext context, PoolTraffic traffic, BatchCapacity capacity) {
+	OwnedPool(EngineContext context, PoolTraffic traffic, PoolShard shard, BatchCapacity capacity) {
 		this.context = context;
 		this.traffic = traffic;
+		this.shard = shard;
 		this.capacity = capacity;
 		this.planner = new BatchPlanner(capacity);
 		this.results = new KeptResults(this.planner, capacity.resultLifetime());
+		this.planner.updateEndpoints(usableEndpoints());
 	}
 
 	BatchCapacity capacity() {
@@ -95,6 +100,7 @@
 	 * Sends waiting pieces after endpoints were added, were removed or became usable.
 	 */
 	void onEndpointsChanged() {
+		this.planner.updateEndpoints(usableEndpoints());
 		sendBatches();
 	}
 
@@ -111,7 +117,6 @@
 	private void sendBatches() {
 		Duration now = now();
 		this.results.expire(now);
-		this.planner.updateEndpoints(usableEndpoints());
 		this.planner.dropUnreachable(now).forEach((ticket) -> recordOutcome(ticket.id(), failed(PieceFailure.LATE)));
 		Optional<PieceBatch> batch = this.planner.next(now);
 		while (batch.isPresent()) {
@@ -122,7 +127,7 @@
 	}
 
 	private Map<EndpointId, AvailabilityZoneId> usableEndpoints() {
-		return this.traffic.pieceEndpoints()
+		return this.traffic.pieceEndpoints(this.shard)
 			.stream()
 			.collect(Collectors.toMap((endpoint) -> endpoint.entry().id(), (endpoint) -> endpoint.entry().zone()));
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/PoolTraffic.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/PoolTraffic.java
@@ -10,6 +10,8 @@
 import java.util.stream.Stream;
 
 import io.wagtailmux.decision.RendezvousHash;
+import io.wagtailmux.decision.ownership.PoolShard;
+import io.wagtailmux.decision.ownership.PoolShards;
 import io.wagtailmux.decision.placement.EndpointLoad;
 import io.wagtailmux.decision.rollout.VersionEvidence;
 import io.wagtailmux.decision.share.ColdShare;
@@ -49,6 +51,8 @@
 
 	private VersionEvidence evidence = new VersionEvidence();
 
+	private Optional<PoolShards> shards = Optional.empty();
+
 	PoolTraffic(InstanceId self, SharedLimits limits, ServingPool pool) {
 		this.self = self;
 		this.limits = limits;
@@ -114,6 +118,29 @@
 		return ofVersion(newVersion, this.endpoints.values().stream().filter(LiveEndpoint::usable).toList());
 	}
 
+	/**
+	 * Returns the endpoints of one shard that may get calls with pieces.
+	 * @param shard a shard of this pool
+	 * @return the usable endpoints of the shard; all usable endpoints of the pool if the
+	 * shard has none, as after a change of the number of shards
+	 */
+	public List<LiveEndpoint> pieceEndpoints(PoolShard shard) {
+		List<LiveEndpoint> all = pieceEndpoints();
+		List<LiveEndpoint> own = all.stream()
+			.filter((endpoint) -> shards().map((found) -> found.shardOf(endpoint.entry().id()).equals(shard))
+				.orElse(false))
+			.toList();
+		return own.isEmpty() ? all : own;
+	}
+
+	/**
+	 * Returns the division of the pool into shards.
+	 * @return the shards; empty if the pool does not run stages in batches
+	 */
+	public Optional<PoolShards> shards() {
+		return this.shards;
+	}
+
 	/**
 	 * Counts the endpoints that may get new requests.
 	 * @return the number in each availability zone; zones without such endpoints are
@@ -198,6 +225,9 @@
 			live.update(entry, nextView.usable(entry), now);
 			this.endpoints.put(entry.id(), live);
 		}
+		this.shards = next.batch()
+			.map((capacity) -> PoolShards.of(next.id(),
+					pieceEndpoints().stream().map((endpoint) -> endpoint.entry().id()).toList(), capacity));
 		before.forEach((id, live) -> {
 			if (this.endpoints.get(id) != live) {
 				live.retire();
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/ServingState.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/ServingState.java
@@ -8,8 +8,8 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 
+import io.wagtailmux.decision.ownership.DutyCandidate;
 import io.wagtailmux.model.AvailabilityZoneId;
-import io.wagtailmux.model.InstanceId;
 import io.wagtailmux.model.PoolId;
 import io.wagtailmux.model.TimeSource;
 import io.wagtailmux.model.serving.RegisteredEndpoint;
@@ -23,7 +23,7 @@
  */
 public final class ServingState {
 
-	private final InstanceId self;
+	private final DutyCandidate self;
 
 	private final SharedLimits limits;
 
@@ -31,7 +31,7 @@
 
 	private final Map<PoolId, PoolTraffic> pools = new HashMap<>();
 
-	private final Map<InetSocketAddress, AvailabilityZoneId> zones = new HashMap<>();
+	private final Map<InetSocketAddress, RegisteredEndpoint> endpointsByAddress = new HashMap<>();
 
 	private ServingView view = ServingView.EMPTY;
 
@@ -39,11 +39,11 @@
 
 	/**
 	 * Creates the state of an instance that has not received a view yet.
-	 * @param self this instance's id
+	 * @param self this instance
 	 * @param limits the limits that apply to all instances combined
 	 * @param time the clock
 	 */
-	public ServingState(InstanceId self, SharedLimits limits, TimeSource time) {
+	public ServingState(DutyCandidate self, SharedLimits limits, TimeSource time) {
 		this.self = self;
 		this.limits = limits;
 		this.time = time;
@@ -56,8 +56,8 @@
 	 */
 	public void updateView(ServingView next) {
 		this.view = next;
-		this.zones.clear();
-		next.endpoints().values().forEach((endpoint) -> this.zones.put(endpoint.address(), endpoint.zone()));
+		this.endpointsByAddress.clear();
+		next.endpoints().values().forEach((endpoint) -> this.endpointsByAddress.put(endpoint.address(), endpoint));
 		Duration now = this.time.elapsed();
 		Map<PoolId, List<RegisteredEndpoint>> byPool = next.endpoints()
 			.values()
@@ -67,7 +67,7 @@
 			.map(ServingConfiguration::pools)
 			.orElse(Map.of())
 			.forEach((id, pool) -> this.pools
-				.computeIfAbsent(id, (ignored) -> new PoolTraffic(this.self, this.limits, pool))
+				.computeIfAbsent(id, (ignored) -> new PoolTraffic(this.self.id(), this.limits, pool))
 				.update(pool, byPool.getOrDefault(id, List.of()), next, now));
 	}
 
@@ -101,14 +101,23 @@
 	 * @return the availability zone; empty if no endpoint is registered with the address
 	 */
 	public Optional<AvailabilityZoneId> zoneOf(InetSocketAddress address) {
-		return Optional.ofNullable(this.zones.get(address));
+		return endpointAt(address).map(RegisteredEndpoint::zone);
 	}
 
 	/**
-	 * Returns the id of this instance.
-	 * @return the id
+	 * Returns the endpoint at an address.
+	 * @param address the address
+	 * @return the endpoint; empty if none is registered with the address
 	 */
-	public InstanceId self() {
+	public Optional<RegisteredEndpoint> endpointAt(InetSocketAddress address) {
+		return Optional.ofNullable(this.endpointsByAddress.get(address));
+	}
+
+	/**
+	 * Returns this instance as a candidate for duties.
+	 * @return the candidate
+	 */
+	public DutyCandidate self() {
 		return this.self;
 	}
 
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/InstanceRecordMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/InstanceRecordMessage.java
@@ -15,6 +15,8 @@
   private static final org.apache.thrift.protocol.TField PORT_FIELD_DESC = new org.apache.thrift.protocol.TField("port", org.apache.thrift.protocol.TType.I32, (short)3);
   private static final org.apache.thrift.protocol.TField ZONE_FIELD_DESC = new org.apache.thrift.protocol.TField("zone", org.apache.thrift.protocol.TType.STRING, (short)4);
   private static final org.apache.thrift.protocol.TField BOOT_FIELD_DESC = new org.apache.thrift.protocol.TField("boot", org.apache.thrift.protocol.TType.I64, (short)5);
+  private static final org.apache.thrift.protocol.TField CORES_FIELD_DESC = new org.apache.thrift.protocol.TField("cores", org.apache.thrift.protocol.TType.DOUBLE, (short)6);
+  private static final org.apache.thrift.protocol.TField LINK_MEGABITS_FIELD_DESC = new org.apache.thrift.protocol.TField("linkMegabits", org.apache.thrift.protocol.TType.DOUBLE, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new InstanceRecordMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new InstanceRecordMessageTupleSchemeFactory();
@@ -24,6 +26,8 @@
   public int port; // required
   public @org.apache.thrift.annotation.Nullable java.lang.String zone; // required
   public long boot; // required
+  public double cores; // optional
+  public double linkMegabits; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -31,7 +35,9 @@
     HOST((short)2, "host"),
     PORT((short)3, "port"),
     ZONE((short)4, "zone"),
-    BOOT((short)5, "boot");
+    BOOT((short)5, "boot"),
+    CORES((short)6, "cores"),
+    LINK_MEGABITS((short)7, "linkMegabits");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -57,6 +63,10 @@
           return ZONE;
         case 5: // BOOT
           return BOOT;
+        case 6: // CORES
+          return CORES;
+        case 7: // LINK_MEGABITS
+          return LINK_MEGABITS;
         default:
           return null;
       }
@@ -102,7 +112,10 @@
   // isset id assignments
   private static final int __PORT_ISSET_ID = 0;
   private static final int __BOOT_ISSET_ID = 1;
+  private static final int __CORES_ISSET_ID = 2;
+  private static final int __LINKMEGABITS_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.CORES,_Fields.LINK_MEGABITS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -116,6 +129,10 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.BOOT, new org.apache.thrift.meta_data.FieldMetaData("boot", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.CORES, new org.apache.thrift.meta_data.FieldMetaData("cores", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE)));
+    tmpMap.put(_Fields.LINK_MEGABITS, new org.apache.thrift.meta_data.FieldMetaData("linkMegabits", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(InstanceRecordMessage.class, metaDataMap);
   }
@@ -156,6 +173,8 @@
       this.zone = other.zone;
     }
     this.boot = other.boot;
+    this.cores = other.cores;
+    this.linkMegabits = other.linkMegabits;
   }
 
   @Override
@@ -172,6 +191,10 @@
     this.zone = null;
     setBootIsSet(false);
     this.boot = 0;
+    setCoresIsSet(false);
+    this.cores = 0.0;
+    setLinkMegabitsIsSet(false);
+    this.linkMegabits = 0.0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -295,6 +318,52 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BOOT_ISSET_ID, value);
   }
 
+  public double getCores() {
+    return this.cores;
+  }
+
+  public InstanceRecordMessage setCores(double cores) {
+    this.cores = cores;
+    setCoresIsSet(true);
+    return this;
+  }
+
+  public void unsetCores() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CORES_ISSET_ID);
+  }
+
+  /** Returns true if field cores is set (has been assigned a value) and false otherwise */
+  public boolean isSetCores() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CORES_ISSET_ID);
+  }
+
+  public void setCoresIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CORES_ISSET_ID, value);
+  }
+
+  public double getLinkMegabits() {
+    return this.linkMegabits;
+  }
+
+  public InstanceRecordMessage setLinkMegabits(double linkMegabits) {
+    this.linkMegabits = linkMegabits;
+    setLinkMegabitsIsSet(true);
+    return this;
+  }
+
+  public void unsetLinkMegabits() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LINKMEGABITS_ISSET_ID);
+  }
+
+  /** Returns true if field linkMegabits is set (has been assigned a value) and false otherwise */
+  public boolean isSetLinkMegabits() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LINKMEGABITS_ISSET_ID);
+  }
+
+  public void setLinkMegabitsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LINKMEGABITS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -338,6 +407,22 @@
       }
       break;
 
+    case CORES:
+      if (value == null) {
+        unsetCores();
+      } else {
+        setCores((java.lang.Double)value);
+      }
+      break;
+
+    case LINK_MEGABITS:
+      if (value == null) {
+        unsetLinkMegabits();
+      } else {
+        setLinkMegabits((java.lang.Double)value);
+      }
+      break;
+
     }
   }
 
@@ -360,6 +445,12 @@
     case BOOT:
       return getBoot();
 
+    case CORES:
+      return getCores();
+
+    case LINK_MEGABITS:
+      return getLinkMegabits();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -382,6 +473,10 @@
       return isSetZone();
     case BOOT:
       return isSetBoot();
+    case CORES:
+      return isSetCores();
+    case LINK_MEGABITS:
+      return isSetLinkMegabits();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -444,6 +539,24 @@
         return false;
     }
 
+    boolean this_present_cores = true && this.isSetCores();
+    boolean that_present_cores = true && that.isSetCores();
+    if (this_present_cores || that_present_cores) {
+      if (!(this_present_cores && that_present_cores))
+        return false;
+      if (this.cores != that.cores)
+        return false;
+    }
+
+    boolean this_present_linkMegabits = true && this.isSetLinkMegabits();
+    boolean that_present_linkMegabits = true && that.isSetLinkMegabits();
+    if (this_present_linkMegabits || that_present_linkMegabits) {
+      if (!(this_present_linkMegabits && that_present_linkMegabits))
+        return false;
+      if (this.linkMegabits != that.linkMegabits)
+        return false;
+    }
+
     return true;
   }
 
@@ -467,6 +580,14 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(boot);
 
+    hashCode = hashCode * 8191 + ((isSetCores()) ? 131071 : 524287);
+    if (isSetCores())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(cores);
+
+    hashCode = hashCode * 8191 + ((isSetLinkMegabits()) ? 131071 : 524287);
+    if (isSetLinkMegabits())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(linkMegabits);
+
     return hashCode;
   }
 
@@ -528,6 +649,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetCores(), other.isSetCores());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCores()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.cores, other.cores);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetLinkMegabits(), other.isSetLinkMegabits());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLinkMegabits()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.linkMegabits, other.linkMegabits);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -583,6 +724,18 @@
     sb.append("boot:");
     sb.append(this.boot);
     first = false;
+    if (isSetCores()) {
+      if (!first) sb.append(", ");
+      sb.append("cores:");
+      sb.append(this.cores);
+      first = false;
+    }
+    if (isSetLinkMegabits()) {
+      if (!first) sb.append(", ");
+      sb.append("linkMegabits:");
+      sb.append(this.linkMegabits);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -681,6 +834,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // CORES
+            if (schemeField.type == org.apache.thrift.protocol.TType.DOUBLE) {
+              struct.cores = iprot.readDouble();
+              struct.setCoresIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 7: // LINK_MEGABITS
+            if (schemeField.type == org.apache.thrift.protocol.TType.DOUBLE) {
+              struct.linkMegabits = iprot.readDouble();
+              struct.setLinkMegabitsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -724,6 +893,16 @@
       oprot.writeFieldBegin(BOOT_FIELD_DESC);
       oprot.writeI64(struct.boot);
       oprot.writeFieldEnd();
+      if (struct.isSetCores()) {
+        oprot.writeFieldBegin(CORES_FIELD_DESC);
+        oprot.writeDouble(struct.cores);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetLinkMegabits()) {
+        oprot.writeFieldBegin(LINK_MEGABITS_FIELD_DESC);
+        oprot.writeDouble(struct.linkMegabits);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -747,6 +926,20 @@
       oprot.writeI32(struct.port);
       oprot.writeString(struct.zone);
       oprot.writeI64(struct.boot);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetCores()) {
+        optionals.set(0);
+      }
+      if (struct.isSetLinkMegabits()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetCores()) {
+        oprot.writeDouble(struct.cores);
+      }
+      if (struct.isSetLinkMegabits()) {
+        oprot.writeDouble(struct.linkMegabits);
+      }
     }
 
     @Override
@@ -762,6 +955,15 @@
       struct.setZoneIsSet(true);
       struct.boot = iprot.readI64();
       struct.setBootIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(2);
+      if (incoming.get(0)) {
+        struct.cores = iprot.readDouble();
+        struct.setCoresIsSet(true);
+      }
+      if (incoming.get(1)) {
+        struct.linkMegabits = iprot.readDouble();
+        struct.setLinkMegabitsIsSet(true);
+      }
     }
   }
 
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/PieceGroupMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/PieceGroupMessage.java
@@ -22,6 +22,7 @@
   private static final org.apache.thrift.protocol.TField RESULT_BYTES_FIELD_DESC = new org.apache.thrift.protocol.TField("resultBytes", org.apache.thrift.protocol.TType.I64, (short)10);
   private static final org.apache.thrift.protocol.TField HOME_ZONE_FIELD_DESC = new org.apache.thrift.protocol.TField("homeZone", org.apache.thrift.protocol.TType.STRING, (short)11);
   private static final org.apache.thrift.protocol.TField INPUTS_FREED_AT_FIELD_DESC = new org.apache.thrift.protocol.TField("inputsFreedAt", org.apache.thrift.protocol.TType.STRING, (short)12);
+  private static final org.apache.thrift.protocol.TField SHARD_FIELD_DESC = new org.apache.thrift.protocol.TField("shard", org.apache.thrift.protocol.TType.I32, (short)13);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PieceGroupMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PieceGroupMessageTupleSchemeFactory();
@@ -38,6 +39,7 @@
   public long resultBytes; // required
   public @org.apache.thrift.annotation.Nullable java.lang.String homeZone; // optional
   public @org.apache.thrift.annotation.Nullable java.lang.String inputsFreedAt; // optional
+  public int shard; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -52,7 +54,8 @@
     SPARE_MICROSECONDS((short)9, "spareMicroseconds"),
     RESULT_BYTES((short)10, "resultBytes"),
     HOME_ZONE((short)11, "homeZone"),
-    INPUTS_FREED_AT((short)12, "inputsFreedAt");
+    INPUTS_FREED_AT((short)12, "inputsFreedAt"),
+    SHARD((short)13, "shard");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -92,6 +95,8 @@
           return HOME_ZONE;
         case 12: // INPUTS_FREED_AT
           return INPUTS_FREED_AT;
+        case 13: // SHARD
+          return SHARD;
         default:
           return null;
       }
@@ -140,8 +145,9 @@
   private static final int __LEFTMICROSECONDS_ISSET_ID = 2;
   private static final int __SPAREMICROSECONDS_ISSET_ID = 3;
   private static final int __RESULTBYTES_ISSET_ID = 4;
+  private static final int __SHARD_ISSET_ID = 5;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.KEY,_Fields.HOME_ZONE,_Fields.INPUTS_FREED_AT};
+  private static final _Fields optionals[] = {_Fields.KEY,_Fields.HOME_ZONE,_Fields.INPUTS_FREED_AT,_Fields.SHARD};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -171,6 +177,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.INPUTS_FREED_AT, new org.apache.thrift.meta_data.FieldMetaData("inputsFreedAt", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.SHARD, new org.apache.thrift.meta_data.FieldMetaData("shard", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PieceGroupMessage.class, metaDataMap);
   }
@@ -239,6 +247,7 @@
     if (other.isSetInputsFreedAt()) {
       this.inputsFreedAt = other.inputsFreedAt;
     }
+    this.shard = other.shard;
   }
 
   @Override
@@ -265,6 +274,8 @@
     this.resultBytes = 0;
     this.homeZone = null;
     this.inputsFreedAt = null;
+    setShardIsSet(false);
+    this.shard = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -589,6 +600,29 @@
     }
   }
 
+  public int getShard() {
+    return this.shard;
+  }
+
+  public PieceGroupMessage setShard(int shard) {
+    this.shard = shard;
+    setShardIsSet(true);
+    return this;
+  }
+
+  public void unsetShard() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SHARD_ISSET_ID);
+  }
+
+  /** Returns true if field shard is set (has been assigned a value) and false otherwise */
+  public boolean isSetShard() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SHARD_ISSET_ID);
+  }
+
+  public void setShardIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SHARD_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -688,6 +722,14 @@
       }
       break;
 
+    case SHARD:
+      if (value == null) {
+        unsetShard();
+      } else {
+        setShard((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -731,6 +773,9 @@
     case INPUTS_FREED_AT:
       return getInputsFreedAt();
 
+    case SHARD:
+      return getShard();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -767,6 +812,8 @@
       return isSetHomeZone();
     case INPUTS_FREED_AT:
       return isSetInputsFreedAt();
+    case SHARD:
+      return isSetShard();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -892,6 +939,15 @@
         return false;
     }
 
+    boolean this_present_shard = true && this.isSetShard();
+    boolean that_present_shard = true && that.isSetShard();
+    if (this_present_shard || that_present_shard) {
+      if (!(this_present_shard && that_present_shard))
+        return false;
+      if (this.shard != that.shard)
+        return false;
+    }
+
     return true;
   }
 
@@ -937,6 +993,10 @@
     if (isSetInputsFreedAt())
       hashCode = hashCode * 8191 + inputsFreedAt.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetShard()) ? 131071 : 524287);
+    if (isSetShard())
+      hashCode = hashCode * 8191 + shard;
+
     return hashCode;
   }
 
@@ -1068,6 +1128,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetShard(), other.isSetShard());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetShard()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.shard, other.shard);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1173,6 +1243,12 @@
       }
       first = false;
     }
+    if (isSetShard()) {
+      if (!first) sb.append(", ");
+      sb.append("shard:");
+      sb.append(this.shard);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1353,6 +1429,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 13: // SHARD
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.shard = iprot.readI32();
+              struct.setShardIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1454,6 +1538,11 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.isSetShard()) {
+        oprot.writeFieldBegin(SHARD_FIELD_DESC);
+        oprot.writeI32(struct.shard);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1503,7 +1592,10 @@
       if (struct.isSetInputsFreedAt()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetShard()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetKey()) {
         oprot.writeString(struct.key);
       }
@@ -1513,6 +1605,9 @@
       if (struct.isSetInputsFreedAt()) {
         oprot.writeString(struct.inputsFreedAt);
       }
+      if (struct.isSetShard()) {
+        oprot.writeI32(struct.shard);
+      }
     }
 
     @Override
@@ -1554,7 +1649,7 @@
       struct.setSpareMicrosecondsIsSet(true);
       struct.resultBytes = iprot.readI64();
       struct.setResultBytesIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.key = iprot.readString();
         struct.setKeyIsSet(true);
@@ -1567,6 +1662,10 @@
         struct.inputsFreedAt = iprot.readString();
         struct.setInputsFreedAtIsSet(true);
       }
+      if (incoming.get(3)) {
+        struct.shard = iprot.readI32();
+        struct.setShardIsSet(true);
+      }
     }
   }
 
--- a/wagtailmux-peer/src/main/thrift/engine.thrift
+++ b/wagtailmux-peer/src/main/thrift/engine.thrift
@@ -15,6 +15,7 @@
   10: required i64 resultBytes
   11: optional string homeZone
   12: optional string inputsFreedAt
+  13: optional i32 shard
 }
 
 struct PieceOutcomeMessage {
@@ -39,6 +40,8 @@
   3: required i32 port
   4: required string zone
   5: required i64 boot
+  6: optional double cores
+  7: optional double linkMegabits
 }
 
 struct TrialReportMessage {
