Order waiting pieces once for a batch; check membership only when it changes

Processor time of owners and of all instances: with a queue of 3,000 pieces and no memory for results, each submitted group and each release sorted the whole queue once for every free endpoint. The queue is now ordered once, and not at all if no free endpoint has memory for a result. A heartbeat answer of an instance that is and stays alive no longer filters and compares all instances.

--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/stage/BatchPlanner.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/stage/BatchPlanner.java
@@ -115,14 +115,18 @@
 	 * now
 	 */
 	public Optional<PieceBatch> next(Duration now) {
-		if (this.waiting.isEmpty()) {
-			return Optional.empty();
-		}
-		return this.endpoints.entrySet()
+		long smallestResult = this.waiting.values().stream().mapToLong(PieceTicket::resultBytes).min().orElse(0);
+		List<Map.Entry<EndpointId, StageEndpointLoad>> free = this.endpoints.entrySet()
 			.stream()
-			.filter((entry) -> entry.getValue().available(now))
+			.filter((entry) -> entry.getValue().available(now) && entry.getValue().freeResultBytes() >= smallestResult)
 			.sorted(Comparator.comparing((entry) -> entry.getValue().slowness()))
-			.flatMap((entry) -> fill(entry.getKey(), entry.getValue(), now).stream())
+			.toList();
+		if (this.waiting.isEmpty() || free.isEmpty()) {
+			return Optional.empty();
+		}
+		List<Candidate> candidates = candidates(now);
+		return free.stream()
+			.flatMap((entry) -> fill(entry.getKey(), entry.getValue(), candidates, now).stream())
 			.findFirst();
 	}
 
@@ -184,10 +188,11 @@
 		return this.waiting.size();
 	}
 
-	private Optional<PieceBatch> fill(EndpointId endpoint, StageEndpointLoad load, Duration now) {
+	private Optional<PieceBatch> fill(EndpointId endpoint, StageEndpointLoad load, List<Candidate> candidates,
+			Duration now) {
 		List<PieceTicket> chosen = new ArrayList<>();
 		long freeBytes = load.freeResultBytes();
-		for (PieceTicket ticket : candidatesFor(load.zone(), now)) {
+		for (PieceTicket ticket : candidatesFor(load.zone(), candidates)) {
 			if (chosen.size() == this.capacity.maximumPieces()) {
 				break;
 			}
@@ -208,29 +213,42 @@
 	}
 
 	/**
-	 * Selects and orders the waiting pieces for an endpoint. A piece of another zone is
-	 * included if the next calls of its zone are filled by pieces before it, if it would
-	 * be late by waiting for its zone, or if the queue is long.
-	 * @param zone the availability zone of the endpoint
+	 * Orders the waiting pieces and determines which of them may leave their home zone: a
+	 * piece for which the next calls of its zone have no place, or that would be late by
+	 * waiting for its zone, and all pieces if the queue is long.
 	 * @param now the elapsed time
-	 * @return the pieces that the endpoint may get, those of its own zone first
+	 * @return the waiting pieces, the most urgent first
 	 */
-	private List<PieceTicket> candidatesFor(AvailabilityZoneId zone, Duration now) {
+	private List<Candidate> candidates(Duration now) {
 		List<PieceTicket> order = new ArrayList<>(this.waiting.values());
 		order.sort(Comparator.comparing((PieceTicket ticket) -> ticket.latestStart().compareTo(now) < 0)
 			.thenComparing(BatchPlanner::urgency));
 		Map<AvailabilityZoneId, Integer> nextCalls = capacityOfNextCalls();
 		Map<AvailabilityZoneId, Duration> timesUntilFree = timesUntilFree(now);
 		boolean crowded = order.size() > CROWDED_CALLS * this.capacity.maximumPieces();
-		List<PieceTicket> own = new ArrayList<>();
-		List<PieceTicket> others = new ArrayList<>();
+		List<Candidate> candidates = new ArrayList<>();
 		for (PieceTicket ticket : order) {
 			int remaining = ticket.home().map((home) -> nextCalls.merge(home, -1, Integer::sum)).orElse(0);
-			if (ticket.home().map(zone::equals).orElse(true)) {
-				own.add(ticket);
+			candidates.add(new Candidate(ticket, remaining < 0 || crowded || !canWait(ticket, timesUntilFree, now)));
+		}
+		return candidates;
+	}
+
+	/**
+	 * Selects the pieces that an endpoint may get.
+	 * @param zone the availability zone of the endpoint
+	 * @param candidates the waiting pieces in order
+	 * @return the pieces, those of its own zone first
+	 */
+	private static List<PieceTicket> candidatesFor(AvailabilityZoneId zone, List<Candidate> candidates) {
+		List<PieceTicket> own = new ArrayList<>();
+		List<PieceTicket> others = new ArrayList<>();
+		for (Candidate candidate : candidates) {
+			if (candidate.ticket().home().map(zone::equals).orElse(true)) {
+				own.add(candidate.ticket());
 			}
-			else if (remaining < 0 || crowded || !canWait(ticket, timesUntilFree, now)) {
-				others.add(ticket);
+			else if (candidate.mayLeaveHome()) {
+				others.add(candidate.ticket());
 			}
 		}
 		own.addAll(others);
@@ -270,4 +288,8 @@
 		return ticket.latestStart().plus(PRIORITY_STEP.multipliedBy(ticket.priority()));
 	}
 
+	private record Candidate(PieceTicket ticket, boolean mayLeaveHome) {
+
+	}
+
 }
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Membership.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Membership.java
@@ -318,7 +318,10 @@
 			instance.answeredAt = this.time.elapsed();
 			instance.stopping = answer.isLeaving();
 			this.onAnswer.accept(answer);
-			publishIfChanged();
+			// An instance that is and stays alive is by far the most frequent case.
+			if (this.publishedPeers.contains(instance.peer()) == instance.stopping) {
+				publishIfChanged();
+			}
 		}
 	}
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedGroup.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedGroup.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.wagtailmux.decision.stage.PieceId;
 import io.wagtailmux.decision.stage.PieceTicket;
@@ -113,16 +114,16 @@
 	 * its request needs all pieces; nothing is reported after that.
 	 * @param piece the index of the piece
 	 * @param outcome the outcome of the piece
-	 * @param expectedWait the expected wait of a new piece at the pool
+	 * @param expectedWait returns the expected wait of a new piece at the pool
 	 */
-	void recordOutcome(int piece, PieceOutcome outcome, Duration expectedWait) {
+	void recordOutcome(int piece, PieceOutcome outcome, Supplier<Duration> expectedWait) {
 		this.outcomes.put(piece, outcome);
 		boolean failed = outcome.failure().isPresent();
 		if (this.cancelled || (!failed && this.outcomes.size() < this.group.pieces().size())) {
 			return;
 		}
 		this.cancelled = failed;
-		this.done.accept(new PieceGroupResult(this.outcomes, expectedWait));
+		this.done.accept(new PieceGroupResult(this.outcomes, expectedWait.get()));
 	}
 
 }
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
@@ -210,7 +210,7 @@
 		if (owned == null) {
 			return;
 		}
-		owned.recordOutcome(id.piece(), outcome, expectedWait());
+		owned.recordOutcome(id.piece(), outcome, this::expectedWait);
 		if (owned.cancelled()) {
 			cancel(owned);
 		}
