Roll back a version whose streams begin in time but are slow afterwards

Cause: an answer's time was taken until the first event of a stream, and only that. Class of fault: a check that watches a part of what it is to judge.

Fix: streams are compared by the time between their events, by route, with those of the previous versions over the same period, and counted apart from answers, whose much larger spread would hide them. A stream counts as soon as it is slow for certain, since it may outlast the trial. The requests of a trial are spread evenly instead of drawn, and half of the requests that a bad version may get beyond its share are selected early. A sound version is kept while all are slow from load: the previous versions' usual pace and their count of slow streams rise with it.

--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/rollout/VersionEvidence.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/rollout/VersionEvidence.java
@@ -10,7 +10,12 @@
  *
  * <p>
  * Response times are compared by route with those of the previous versions, since a
- * version may be slow on one route only. Not safe for use by several threads.
+ * version may be slow on one route only. The pace of streams is counted apart from the
+ * answers, that is from failures and the time to the first event: a version may begin its
+ * streams in time and be slow afterwards, and the first event has a much larger spread,
+ * in which slow streams would go unnoticed. Under high load the previous versions are
+ * slow as well, which raises both their usual times and their bad counts. Not safe for
+ * use by several threads.
  *
  * @author the wagtailmux developers
  */
@@ -24,9 +29,11 @@
 
 	private final Map<String, UsualTime> usualTimes = new HashMap<>();
 
-	private VersionCounts tried = VersionCounts.NONE;
+	private final Map<String, UsualTime> usualTimesPerEvent = new HashMap<>();
 
-	private VersionCounts others = VersionCounts.NONE;
+	private VersionComparison answers = VersionComparison.NONE;
+
+	private VersionComparison streams = VersionComparison.NONE;
 
 	/**
 	 * Records an answer. A failure or a slow answer counts as bad. No answer counts as
@@ -38,14 +45,10 @@
 	 */
 	public void recordAnswer(boolean byTried, String route, boolean success, Duration took) {
 		UsualTime usual = this.usualTimes.computeIfAbsent(route, (ignored) -> new UsualTime());
-		boolean good = success && !usual.exceededBy(took);
-		if (byTried) {
-			this.tried = this.tried.withAnswer(good);
-			return;
-		}
-		this.others = this.others.withAnswer(good);
-		if (success) {
-			usual.add(took);
+		boolean good = success && !usual.exceededBy(took, 1);
+		this.answers = this.answers.with(byTried, good);
+		if (!byTried && success) {
+			usual.add(took.toNanos());
 		}
 	}
 
@@ -58,29 +61,72 @@
 	 */
 	public void recordAbandonedCall(boolean byTried, String route, Duration lasted) {
 		UsualTime usual = this.usualTimes.get(route);
-		if (usual != null && usual.exceededBy(lasted)) {
+		if (usual != null && usual.exceededBy(lasted, 1)) {
 			recordAnswer(byTried, route, false, lasted);
 		}
 	}
 
 	/**
-	 * Returns the answers of the version on trial.
+	 * Returns whether a stream is so slow that it counts as bad however it continues.
+	 * @param route the route of the request
+	 * @param pace the pace so far
+	 * @return whether its events take several times as long as usual
+	 */
+	public boolean isSlow(String route, StreamPace pace) {
+		UsualTime usual = this.usualTimesPerEvent.get(route);
+		StreamPace atLeast = pace.withAwaitedEvent();
+		return usual != null && usual.exceededBy(atLeast.elapsed(), atLeast.events());
+	}
+
+	/**
+	 * Records a stream that was slow; to be called once for it, as soon as
+	 * {@link #isSlow} is true.
+	 * @param byTried whether the stream came from the version on trial
+	 * @param route the route of the request
+	 * @param pace the pace so far
+	 */
+	public void recordSlowStream(boolean byTried, String route, StreamPace pace) {
+		this.streams = this.streams.with(byTried, false);
+		addPace(byTried, route, pace.withAwaitedEvent());
+	}
+
+	/**
+	 * Records the end of a stream that was not slow. A stream of one event is ignored.
+	 * @param byTried whether the stream came from the version on trial
+	 * @param route the route of the request
+	 * @param pace the pace of the whole stream
+	 */
+	public void recordStream(boolean byTried, String route, StreamPace pace) {
+		if (pace.events() > 0) {
+			this.streams = this.streams.with(byTried, true);
+			addPace(byTried, route, pace);
+		}
+	}
+
+	private void addPace(boolean byTried, String route, StreamPace pace) {
+		if (!byTried) {
+			this.usualTimesPerEvent.computeIfAbsent(route, (ignored) -> new UsualTime()).add(pace.nanosPerEvent());
+		}
+	}
+
+	/**
+	 * Returns the answers, by success and the time to the answer or its first event.
 	 * @return the counts since the order
 	 */
-	public VersionCounts tried() {
-		return this.tried;
+	public VersionComparison answers() {
+		return this.answers;
 	}
 
 	/**
-	 * Returns the answers of the previous versions.
+	 * Returns the streams, by their pace after the first event.
 	 * @return the counts since the order
 	 */
-	public VersionCounts others() {
-		return this.others;
+	public VersionComparison streams() {
+		return this.streams;
 	}
 
 	/**
-	 * Mean response time of the previous versions on one route.
+	 * Mean time of the previous versions on one route, until an answer or between events.
 	 */
 	private static final class UsualTime {
 
@@ -92,15 +138,23 @@
 
 		private int samples;
 
-		void add(Duration took) {
+		void add(double nanos) {
 			this.samples++;
 			double gain = Math.max(GAIN, 1.0 / this.samples);
-			this.meanNanos += gain * (took.toNanos() - this.meanNanos);
+			this.meanNanos += gain * (nanos - this.meanNanos);
 		}
 
-		boolean exceededBy(Duration took) {
-			return this.samples >= MIN_SAMPLES && took.toNanos() > SLOW_FACTOR * this.meanNanos
-					&& took.toNanos() - this.meanNanos > MIN_SLOW_DELAY.toNanos();
+		/**
+		 * Returns whether a time is much longer than usual.
+		 * @param took the time
+		 * @param count the number of answers or events that it comprises
+		 * @return whether it is several times the usual time of as many, and by a delay
+		 * that is worth noticing
+		 */
+		boolean exceededBy(Duration took, int count) {
+			double usual = this.meanNanos * count;
+			return this.samples >= MIN_SAMPLES && took.toNanos() > SLOW_FACTOR * usual
+					&& took.toNanos() - usual > MIN_SLOW_DELAY.toNanos();
 		}
 
 	}
--- a/wagtailmux-decision/src/test/java/io/wagtailmux/decision/rollout/RolloutDecisionTests.java
+++ b/wagtailmux-decision/src/test/java/io/wagtailmux/decision/rollout/RolloutDecisionTests.java
@@ -80,11 +80,11 @@
 		for (int answer = 0; answer < 400; answer++) {
 			evidence.recordAnswer(false, route(random), true, spread(USUAL, random));
 		}
-		while (!VersionEvaluation.isWorse(evidence.tried(), evidence.others())) {
+		while (!VersionEvaluation.isWorse(evidence.answers().tried(), evidence.answers().others())) {
 			String route = route(random);
 			Duration usual = route.equals("slow") ? USUAL.multipliedBy(5) : USUAL;
 			evidence.recordAnswer(true, route, true, spread(usual, random));
-			assertThat(evidence.tried().bad()).isLessThan(50);
+			assertThat(evidence.answers().tried().bad()).isLessThan(50);
 		}
 	}
 
@@ -96,9 +96,9 @@
 			evidence.recordAnswer(false, "read", true, USUAL);
 		}
 		evidence.recordAbandonedCall(true, "read", USUAL);
-		assertThat(evidence.tried()).isEqualTo(VersionCounts.NONE);
+		assertThat(evidence.answers().tried()).isEqualTo(VersionCounts.NONE);
 		evidence.recordAbandonedCall(true, "read", Duration.ofSeconds(9));
-		assertThat(evidence.tried()).isEqualTo(new VersionCounts(0, 1));
+		assertThat(evidence.answers().tried()).isEqualTo(new VersionCounts(0, 1));
 	}
 
 	private static String route(SplittableRandom random) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Rollout.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Rollout.java
@@ -4,10 +4,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 
 import io.wagtailmux.decision.rollout.RolloutPlan;
-import io.wagtailmux.decision.rollout.VersionCounts;
-import io.wagtailmux.decision.rollout.VersionEvaluation;
+import io.wagtailmux.decision.rollout.VersionComparison;
 import io.wagtailmux.engine.port.OperatorFact;
 import io.wagtailmux.engine.port.RolloutState;
 import io.wagtailmux.engine.port.RolloutStatus;
@@ -88,7 +88,7 @@
 		if (reported.compareTo(this.orderedAt) < 0) {
 			this.orderedAt = reported;
 		}
-		this.stopped |= report.stopped() || VersionEvaluation.isWorse(tried(), others());
+		this.stopped |= report.stopped() || answers().isWorse() || streams().isWorse();
 	}
 
 	/**
@@ -159,12 +159,16 @@
 				phase.share(this.plan.trialShare()));
 	}
 
-	VersionCounts tried() {
-		return this.reports.values().stream().map(TrialReport::tried).reduce(VersionCounts.NONE, VersionCounts::plus);
+	VersionComparison answers() {
+		return sum(TrialReport::answers);
 	}
 
-	VersionCounts others() {
-		return this.reports.values().stream().map(TrialReport::others).reduce(VersionCounts.NONE, VersionCounts::plus);
+	VersionComparison streams() {
+		return sum(TrialReport::streams);
+	}
+
+	private VersionComparison sum(Function<TrialReport, VersionComparison> counts) {
+		return this.reports.values().stream().map(counts).reduce(VersionComparison.NONE, VersionComparison::plus);
 	}
 
 	Duration age(Duration now) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/RolloutControl.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/RolloutControl.java
@@ -240,8 +240,8 @@
 			.addKeyValue("pool", rollout.order().pool())
 			.addKeyValue("to", status.version())
 			.addKeyValue("state", status.state())
-			.addKeyValue("tried", rollout.tried())
-			.addKeyValue("others", rollout.others())
+			.addKeyValue("answers", rollout.answers())
+			.addKeyValue("streams", rollout.streams())
 			.addKeyValue("ageMs", rollout.age(this.time.elapsed()).toMillis())
 			.addKeyValue("outcome", (failure != null) ? failure.getMessage() : "row version " + version)
 			.log("rollout status write finished");
@@ -276,8 +276,8 @@
 			.addKeyValue("to", rollout.order().version())
 			.addKeyValue("order", rollout.orderVersion())
 			.addKeyValue("phase", phase)
-			.addKeyValue("tried", rollout.tried())
-			.addKeyValue("others", rollout.others())
+			.addKeyValue("answers", rollout.answers())
+			.addKeyValue("streams", rollout.streams())
 			.addKeyValue("ageMs", rollout.age(now).toMillis())
 			.log("rollout phase changed");
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/EventSplitter.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/EventSplitter.java
@@ -31,6 +31,8 @@
 
 	private Optional<String> lastEventId = Optional.empty();
 
+	private int completeEvents;
+
 	/**
 	 * Adds bytes and returns the events that are complete with them.
 	 * @param bytes the bytes; copied, not released
@@ -60,6 +62,14 @@
 		return this.lastEventId;
 	}
 
+	/**
+	 * Returns how many events were complete so far.
+	 * @return the number
+	 */
+	int completeEvents() {
+		return this.completeEvents;
+	}
+
 	/**
 	 * Returns whether bytes of an incomplete event are pending.
 	 * @return whether a stream that ends now ends within an event
@@ -92,6 +102,7 @@
 			}
 			if (isBlank(this.lineStart, this.scanIndex)) {
 				completeLength = this.scanIndex + 1;
+				this.completeEvents++;
 				this.lastEventId = this.eventId.isPresent() ? this.eventId : this.lastEventId;
 				this.eventId = Optional.empty();
 			}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
@@ -189,7 +189,7 @@
 			return;
 		}
 		this.pool = found.get();
-		this.trial = this.context.random().nextDouble() < this.pool.trialShare();
+		this.trial = this.pool.selectsNextForTrial();
 		this.planner = new ChainPlanner(this.context, this.route, this.request, this.pool);
 		ChainPlan plan = this.planner.plan();
 		Optional<Duration> retryAfter = this.context.admission().evaluate(plan.expectedFinish(), remainingTime());
@@ -212,7 +212,7 @@
 	 * goes to a proven version, unless the version on trial gets all requests.
 	 */
 	private void avoidTrialVersion() {
-		this.trial &= this.pool.trialShare() >= 1;
+		this.trial &= this.pool.trialTakesAll();
 	}
 
 	private void runStages(ChainPlan plan) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
@@ -13,6 +13,7 @@
 
 import io.wagtailmux.decision.placement.EndpointLoad;
 import io.wagtailmux.decision.placement.EnginePlacement;
+import io.wagtailmux.decision.rollout.StreamPace;
 import io.wagtailmux.engine.EngineContext;
 import io.wagtailmux.engine.http.CallFailure;
 import io.wagtailmux.engine.http.ClientCall;
@@ -81,6 +82,12 @@
 
 	private boolean firstByteReceived;
 
+	private Duration firstEventAt = Duration.ZERO;
+
+	private int eventsAtFirst;
+
+	private boolean slow;
+
 	private boolean ended;
 
 	ForwardCall(EngineContext context, Exchange exchange, LiveEndpoint endpoint) {
@@ -202,16 +209,35 @@
 			this.firstByteReceived = true;
 			onPrefillEnded();
 			recordAnswer(true);
+			this.firstEventAt = now();
+			this.eventsAtFirst = this.exchange.stream().completeEvents();
 			load().promptCache().add(this.exchange.request().generation().parts());
 		}
+		recordIfSlow();
 		if (first) {
 			this.exchange.onFirstEvent();
 		}
 	}
 
+	/**
+	 * Records the stream as slow as soon as it is, since a slow stream may last longer
+	 * than the trial of its version.
+	 */
+	private void recordIfSlow() {
+		if (!this.slow && this.firstByteReceived) {
+			this.slow = this.exchange.pool().recordIfSlow(this.endpoint, this.exchange.route().name(), pace());
+		}
+	}
+
+	private StreamPace pace() {
+		return new StreamPace(now().minus(this.firstEventAt),
+				this.exchange.stream().completeEvents() - this.eventsAtFirst);
+	}
+
 	private void endStream() {
 		this.body.release();
 		if (this.exchange.stream().end(this.answer.status(), this.headers)) {
+			recordStream();
 			this.exchange.onStreamEnded();
 			return;
 		}
@@ -291,8 +317,17 @@
 		this.exchange.pool().recordAnswer(this.endpoint, this.exchange.route().name(), success, elapsed);
 	}
 
+	private void recordStream() {
+		if (this.firstByteReceived && !this.slow) {
+			this.exchange.pool().recordStream(this.endpoint, this.exchange.route().name(), pace());
+		}
+	}
+
 	private void recordAbandonedCall() {
-		if (!this.firstByteReceived) {
+		if (this.firstByteReceived) {
+			recordIfSlow();
+		}
+		else {
 			this.exchange.pool()
 				.recordAbandonedCall(this.endpoint, this.exchange.route().name(), now().minus(this.startedAt));
 		}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ResponseStream.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ResponseStream.java
@@ -48,6 +48,14 @@
 		return this.lastEventId;
 	}
 
+	/**
+	 * Returns how many events were complete so far since the last interruption.
+	 * @return the number
+	 */
+	int completeEvents() {
+		return this.splitter.completeEvents();
+	}
+
 	/**
 	 * Forwards the events that are complete with these bytes, and keeps the rest.
 	 * @param status the HTTP status of the endpoint's response
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/TrialMessages.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/TrialMessages.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.wagtailmux.decision.rollout.VersionComparison;
 import io.wagtailmux.decision.rollout.VersionCounts;
 import io.wagtailmux.engine.state.TrialReport;
 import io.wagtailmux.model.PoolId;
@@ -41,16 +42,24 @@
 	}
 
 	private static TrialReportMessage message(TrialReport report) {
+		VersionCounts tried = report.answers().tried();
+		VersionCounts others = report.answers().others();
 		return new TrialReportMessage(report.pool().value(), report.order(),
-				report.age().toNanos() / NANOSECONDS_PER_MICROSECOND, report.stopped(), report.tried().good(),
-				report.tried().bad(), report.others().good(), report.others().bad());
+				report.age().toNanos() / NANOSECONDS_PER_MICROSECOND, report.stopped(), tried.good(), tried.bad(),
+				others.good(), others.bad())
+			.setTriedStreams(report.streams().tried().good())
+			.setTriedSlowStreams(report.streams().tried().bad())
+			.setOthersStreams(report.streams().others().good())
+			.setOthersSlowStreams(report.streams().others().bad());
 	}
 
 	private static TrialReport report(TrialReportMessage message) {
 		return new TrialReport(new PoolId(message.getPool()), message.getOrder(),
 				Duration.ofNanos(message.getAgeMicroseconds() * NANOSECONDS_PER_MICROSECOND), message.isStopped(),
-				new VersionCounts(message.getTriedGood(), message.getTriedBad()),
-				new VersionCounts(message.getOthersGood(), message.getOthersBad()));
+				new VersionComparison(new VersionCounts(message.getTriedGood(), message.getTriedBad()),
+						new VersionCounts(message.getOthersGood(), message.getOthersBad())),
+				new VersionComparison(new VersionCounts(message.getTriedStreams(), message.getTriedSlowStreams()),
+						new VersionCounts(message.getOthersStreams(), message.getOthersSlowStreams())));
 	}
 
 }
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/PoolTraffic.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/PoolTraffic.java
@@ -13,6 +13,8 @@
 import io.wagtailmux.decision.ownership.PoolShard;
 import io.wagtailmux.decision.ownership.PoolShards;
 import io.wagtailmux.decision.placement.EndpointLoad;
+import io.wagtailmux.decision.rollout.StreamPace;
+import io.wagtailmux.decision.rollout.TrialSampler;
 import io.wagtailmux.decision.rollout.VersionEvidence;
 import io.wagtailmux.decision.share.ColdShare;
 import io.wagtailmux.decision.share.RetryBudgetShare;
@@ -51,6 +53,8 @@
 
 	private VersionEvidence evidence = new VersionEvidence();
 
+	private TrialSampler sampler = new TrialSampler(0);
+
 	private Optional<PoolShards> shards = Optional.empty();
 
 	PoolTraffic(InstanceId self, SharedLimits limits, ServingPool pool) {
@@ -156,11 +160,19 @@
 	}
 
 	/**
-	 * Returns the share of requests that goes to the version under trial.
-	 * @return a number from zero to one; zero if no version is under trial
+	 * Decides whether the next request goes to the version under trial.
+	 * @return whether it does; false if no version is under trial
+	 */
+	public boolean selectsNextForTrial() {
+		return this.trial.map((found) -> this.sampler.selectsNext(found.share())).orElse(false);
+	}
+
+	/**
+	 * Returns whether all requests go to the version under trial.
+	 * @return whether the trial is over and no fault was found
 	 */
-	public double trialShare() {
-		return this.trial.map(VersionTrial::share).orElse(0.0);
+	public boolean trialTakesAll() {
+		return this.trial.map((found) -> found.share() >= 1).orElse(false);
 	}
 
 	/**
@@ -188,6 +200,33 @@
 			.ifPresent((found) -> this.evidence.recordAbandonedCall(runsTrialVersion(found, endpoint), route, elapsed));
 	}
 
+	/**
+	 * Records a stream in progress as evidence in the pool's trial of a version if it is
+	 * too slow already.
+	 * @param endpoint the endpoint that sends the stream
+	 * @param route the name of the request's route
+	 * @param pace the pace so far
+	 * @return whether it was recorded as slow, so that it must not be recorded again
+	 */
+	public boolean recordIfSlow(LiveEndpoint endpoint, String route, StreamPace pace) {
+		boolean slow = this.trial.isPresent() && this.evidence.isSlow(route, pace);
+		if (slow) {
+			this.evidence.recordSlowStream(runsTrialVersion(this.trial.get(), endpoint), route, pace);
+		}
+		return slow;
+	}
+
+	/**
+	 * Records the end of a stream that was not slow as evidence in the pool's trial of a
+	 * version. Does nothing if there is no trial.
+	 * @param endpoint the endpoint that sent the stream
+	 * @param route the name of the request's route
+	 * @param pace the pace of the whole stream
+	 */
+	public void recordStream(LiveEndpoint endpoint, String route, StreamPace pace) {
+		this.trial.ifPresent((found) -> this.evidence.recordStream(runsTrialVersion(found, endpoint), route, pace));
+	}
+
 	/**
 	 * Returns this instance's report on the version under trial.
 	 * @param now the elapsed time
@@ -195,7 +234,7 @@
 	 */
 	Optional<TrialReport> trialReport(Duration now) {
 		return this.trial.map((found) -> new TrialReport(this.pool.id(), found.order(), now.minus(found.orderedAt()),
-				found.phase() == TrialPhase.STOPPED, this.evidence.tried(), this.evidence.others()));
+				found.phase() == TrialPhase.STOPPED, this.evidence.answers(), this.evidence.streams()));
 	}
 
 	/**
@@ -239,6 +278,8 @@
 		boolean sameOrder = next.map(VersionTrial::order).equals(this.trial.map(VersionTrial::order));
 		if (!sameOrder) {
 			this.evidence = new VersionEvidence();
+			double phase = next.map((found) -> RendezvousHash.fraction(found.order(), this.self)).orElse(0.0);
+			this.sampler = new TrialSampler(phase + this.limits.exposureSlack() / 2 / instances());
 		}
 		this.trial = next;
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/SharedLimits.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/SharedLimits.java
@@ -13,9 +13,10 @@
  * @param coldSlack the additional requests per second at a cold endpoint
  * @param exposureShare the largest share of a pool's requests that may reach a faulty
  * version
+ * @param exposureSlack the number of requests beyond that share that may reach it
  * @author the wagtailmux developers
  */
 public record SharedLimits(double retryRatio, Duration retryWindow, double retrySlack, double coldFactor,
-		double coldSlack, double exposureShare) {
+		double coldSlack, double exposureShare, double exposureSlack) {
 
 }
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/TrialReport.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/TrialReport.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 
-import io.wagtailmux.decision.rollout.VersionCounts;
+import io.wagtailmux.decision.rollout.VersionComparison;
 import io.wagtailmux.model.PoolId;
 
 /**
@@ -12,11 +12,11 @@
  * @param order the version of the row that ordered the rollout
  * @param age the time since the order, as known to the instance
  * @param stopped whether the instance has stopped the rollout
- * @param tried the answers of the version under trial that the instance counted
- * @param others the answers of other versions that the instance counted
+ * @param answers the answers that the instance counted, by success and time to the answer
+ * @param streams the streams that the instance counted, by the pace of their events
  * @author the wagtailmux developers
  */
-public record TrialReport(PoolId pool, long order, Duration age, boolean stopped, VersionCounts tried,
-		VersionCounts others) {
+public record TrialReport(PoolId pool, long order, Duration age, boolean stopped, VersionComparison answers,
+		VersionComparison streams) {
 
 }
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/TrialReportMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/TrialReportMessage.java
@@ -18,6 +18,10 @@
   private static final org.apache.thrift.protocol.TField TRIED_BAD_FIELD_DESC = new org.apache.thrift.protocol.TField("triedBad", org.apache.thrift.protocol.TType.I64, (short)6);
   private static final org.apache.thrift.protocol.TField OTHERS_GOOD_FIELD_DESC = new org.apache.thrift.protocol.TField("othersGood", org.apache.thrift.protocol.TType.I64, (short)7);
   private static final org.apache.thrift.protocol.TField OTHERS_BAD_FIELD_DESC = new org.apache.thrift.protocol.TField("othersBad", org.apache.thrift.protocol.TType.I64, (short)8);
+  private static final org.apache.thrift.protocol.TField TRIED_STREAMS_FIELD_DESC = new org.apache.thrift.protocol.TField("triedStreams", org.apache.thrift.protocol.TType.I64, (short)9);
+  private static final org.apache.thrift.protocol.TField TRIED_SLOW_STREAMS_FIELD_DESC = new org.apache.thrift.protocol.TField("triedSlowStreams", org.apache.thrift.protocol.TType.I64, (short)10);
+  private static final org.apache.thrift.protocol.TField OTHERS_STREAMS_FIELD_DESC = new org.apache.thrift.protocol.TField("othersStreams", org.apache.thrift.protocol.TType.I64, (short)11);
+  private static final org.apache.thrift.protocol.TField OTHERS_SLOW_STREAMS_FIELD_DESC = new org.apache.thrift.protocol.TField("othersSlowStreams", org.apache.thrift.protocol.TType.I64, (short)12);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TrialReportMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TrialReportMessageTupleSchemeFactory();
@@ -30,6 +34,10 @@
   public long triedBad; // required
   public long othersGood; // required
   public long othersBad; // required
+  public long triedStreams; // optional
+  public long triedSlowStreams; // optional
+  public long othersStreams; // optional
+  public long othersSlowStreams; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -40,7 +48,11 @@
     TRIED_GOOD((short)5, "triedGood"),
     TRIED_BAD((short)6, "triedBad"),
     OTHERS_GOOD((short)7, "othersGood"),
-    OTHERS_BAD((short)8, "othersBad");
+    OTHERS_BAD((short)8, "othersBad"),
+    TRIED_STREAMS((short)9, "triedStreams"),
+    TRIED_SLOW_STREAMS((short)10, "triedSlowStreams"),
+    OTHERS_STREAMS((short)11, "othersStreams"),
+    OTHERS_SLOW_STREAMS((short)12, "othersSlowStreams");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -72,6 +84,14 @@
           return OTHERS_GOOD;
         case 8: // OTHERS_BAD
           return OTHERS_BAD;
+        case 9: // TRIED_STREAMS
+          return TRIED_STREAMS;
+        case 10: // TRIED_SLOW_STREAMS
+          return TRIED_SLOW_STREAMS;
+        case 11: // OTHERS_STREAMS
+          return OTHERS_STREAMS;
+        case 12: // OTHERS_SLOW_STREAMS
+          return OTHERS_SLOW_STREAMS;
         default:
           return null;
       }
@@ -122,7 +142,12 @@
   private static final int __TRIEDBAD_ISSET_ID = 4;
   private static final int __OTHERSGOOD_ISSET_ID = 5;
   private static final int __OTHERSBAD_ISSET_ID = 6;
-  private byte __isset_bitfield = 0;
+  private static final int __TRIEDSTREAMS_ISSET_ID = 7;
+  private static final int __TRIEDSLOWSTREAMS_ISSET_ID = 8;
+  private static final int __OTHERSSTREAMS_ISSET_ID = 9;
+  private static final int __OTHERSSLOWSTREAMS_ISSET_ID = 10;
+  private short __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.TRIED_STREAMS,_Fields.TRIED_SLOW_STREAMS,_Fields.OTHERS_STREAMS,_Fields.OTHERS_SLOW_STREAMS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -142,6 +167,14 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.OTHERS_BAD, new org.apache.thrift.meta_data.FieldMetaData("othersBad", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.TRIED_STREAMS, new org.apache.thrift.meta_data.FieldMetaData("triedStreams", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.TRIED_SLOW_STREAMS, new org.apache.thrift.meta_data.FieldMetaData("triedSlowStreams", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.OTHERS_STREAMS, new org.apache.thrift.meta_data.FieldMetaData("othersStreams", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.OTHERS_SLOW_STREAMS, new org.apache.thrift.meta_data.FieldMetaData("othersSlowStreams", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TrialReportMessage.class, metaDataMap);
   }
@@ -192,6 +225,10 @@
     this.triedBad = other.triedBad;
     this.othersGood = other.othersGood;
     this.othersBad = other.othersBad;
+    this.triedStreams = other.triedStreams;
+    this.triedSlowStreams = other.triedSlowStreams;
+    this.othersStreams = other.othersStreams;
+    this.othersSlowStreams = other.othersSlowStreams;
   }
 
   @Override
@@ -216,6 +253,14 @@
     this.othersGood = 0;
     setOthersBadIsSet(false);
     this.othersBad = 0;
+    setTriedStreamsIsSet(false);
+    this.triedStreams = 0;
+    setTriedSlowStreamsIsSet(false);
+    this.triedSlowStreams = 0;
+    setOthersStreamsIsSet(false);
+    this.othersStreams = 0;
+    setOthersSlowStreamsIsSet(false);
+    this.othersSlowStreams = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -404,6 +449,98 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __OTHERSBAD_ISSET_ID, value);
   }
 
+  public long getTriedStreams() {
+    return this.triedStreams;
+  }
+
+  public TrialReportMessage setTriedStreams(long triedStreams) {
+    this.triedStreams = triedStreams;
+    setTriedStreamsIsSet(true);
+    return this;
+  }
+
+  public void unsetTriedStreams() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TRIEDSTREAMS_ISSET_ID);
+  }
+
+  /** Returns true if field triedStreams is set (has been assigned a value) and false otherwise */
+  public boolean isSetTriedStreams() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TRIEDSTREAMS_ISSET_ID);
+  }
+
+  public void setTriedStreamsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TRIEDSTREAMS_ISSET_ID, value);
+  }
+
+  public long getTriedSlowStreams() {
+    return this.triedSlowStreams;
+  }
+
+  public TrialReportMessage setTriedSlowStreams(long triedSlowStreams) {
+    this.triedSlowStreams = triedSlowStreams;
+    setTriedSlowStreamsIsSet(true);
+    return this;
+  }
+
+  public void unsetTriedSlowStreams() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TRIEDSLOWSTREAMS_ISSET_ID);
+  }
+
+  /** Returns true if field triedSlowStreams is set (has been assigned a value) and false otherwise */
+  public boolean isSetTriedSlowStreams() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TRIEDSLOWSTREAMS_ISSET_ID);
+  }
+
+  public void setTriedSlowStreamsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TRIEDSLOWSTREAMS_ISSET_ID, value);
+  }
+
+  public long getOthersStreams() {
+    return this.othersStreams;
+  }
+
+  public TrialReportMessage setOthersStreams(long othersStreams) {
+    this.othersStreams = othersStreams;
+    setOthersStreamsIsSet(true);
+    return this;
+  }
+
+  public void unsetOthersStreams() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __OTHERSSTREAMS_ISSET_ID);
+  }
+
+  /** Returns true if field othersStreams is set (has been assigned a value) and false otherwise */
+  public boolean isSetOthersStreams() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __OTHERSSTREAMS_ISSET_ID);
+  }
+
+  public void setOthersStreamsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __OTHERSSTREAMS_ISSET_ID, value);
+  }
+
+  public long getOthersSlowStreams() {
+    return this.othersSlowStreams;
+  }
+
+  public TrialReportMessage setOthersSlowStreams(long othersSlowStreams) {
+    this.othersSlowStreams = othersSlowStreams;
+    setOthersSlowStreamsIsSet(true);
+    return this;
+  }
+
+  public void unsetOthersSlowStreams() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __OTHERSSLOWSTREAMS_ISSET_ID);
+  }
+
+  /** Returns true if field othersSlowStreams is set (has been assigned a value) and false otherwise */
+  public boolean isSetOthersSlowStreams() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __OTHERSSLOWSTREAMS_ISSET_ID);
+  }
+
+  public void setOthersSlowStreamsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __OTHERSSLOWSTREAMS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -471,6 +608,38 @@
       }
       break;
 
+    case TRIED_STREAMS:
+      if (value == null) {
+        unsetTriedStreams();
+      } else {
+        setTriedStreams((java.lang.Long)value);
+      }
+      break;
+
+    case TRIED_SLOW_STREAMS:
+      if (value == null) {
+        unsetTriedSlowStreams();
+      } else {
+        setTriedSlowStreams((java.lang.Long)value);
+      }
+      break;
+
+    case OTHERS_STREAMS:
+      if (value == null) {
+        unsetOthersStreams();
+      } else {
+        setOthersStreams((java.lang.Long)value);
+      }
+      break;
+
+    case OTHERS_SLOW_STREAMS:
+      if (value == null) {
+        unsetOthersSlowStreams();
+      } else {
+        setOthersSlowStreams((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -502,6 +671,18 @@
     case OTHERS_BAD:
       return getOthersBad();
 
+    case TRIED_STREAMS:
+      return getTriedStreams();
+
+    case TRIED_SLOW_STREAMS:
+      return getTriedSlowStreams();
+
+    case OTHERS_STREAMS:
+      return getOthersStreams();
+
+    case OTHERS_SLOW_STREAMS:
+      return getOthersSlowStreams();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -530,6 +711,14 @@
       return isSetOthersGood();
     case OTHERS_BAD:
       return isSetOthersBad();
+    case TRIED_STREAMS:
+      return isSetTriedStreams();
+    case TRIED_SLOW_STREAMS:
+      return isSetTriedSlowStreams();
+    case OTHERS_STREAMS:
+      return isSetOthersStreams();
+    case OTHERS_SLOW_STREAMS:
+      return isSetOthersSlowStreams();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -619,6 +808,42 @@
         return false;
     }
 
+    boolean this_present_triedStreams = true && this.isSetTriedStreams();
+    boolean that_present_triedStreams = true && that.isSetTriedStreams();
+    if (this_present_triedStreams || that_present_triedStreams) {
+      if (!(this_present_triedStreams && that_present_triedStreams))
+        return false;
+      if (this.triedStreams != that.triedStreams)
+        return false;
+    }
+
+    boolean this_present_triedSlowStreams = true && this.isSetTriedSlowStreams();
+    boolean that_present_triedSlowStreams = true && that.isSetTriedSlowStreams();
+    if (this_present_triedSlowStreams || that_present_triedSlowStreams) {
+      if (!(this_present_triedSlowStreams && that_present_triedSlowStreams))
+        return false;
+      if (this.triedSlowStreams != that.triedSlowStreams)
+        return false;
+    }
+
+    boolean this_present_othersStreams = true && this.isSetOthersStreams();
+    boolean that_present_othersStreams = true && that.isSetOthersStreams();
+    if (this_present_othersStreams || that_present_othersStreams) {
+      if (!(this_present_othersStreams && that_present_othersStreams))
+        return false;
+      if (this.othersStreams != that.othersStreams)
+        return false;
+    }
+
+    boolean this_present_othersSlowStreams = true && this.isSetOthersSlowStreams();
+    boolean that_present_othersSlowStreams = true && that.isSetOthersSlowStreams();
+    if (this_present_othersSlowStreams || that_present_othersSlowStreams) {
+      if (!(this_present_othersSlowStreams && that_present_othersSlowStreams))
+        return false;
+      if (this.othersSlowStreams != that.othersSlowStreams)
+        return false;
+    }
+
     return true;
   }
 
@@ -644,6 +869,22 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(othersBad);
 
+    hashCode = hashCode * 8191 + ((isSetTriedStreams()) ? 131071 : 524287);
+    if (isSetTriedStreams())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(triedStreams);
+
+    hashCode = hashCode * 8191 + ((isSetTriedSlowStreams()) ? 131071 : 524287);
+    if (isSetTriedSlowStreams())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(triedSlowStreams);
+
+    hashCode = hashCode * 8191 + ((isSetOthersStreams()) ? 131071 : 524287);
+    if (isSetOthersStreams())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(othersStreams);
+
+    hashCode = hashCode * 8191 + ((isSetOthersSlowStreams()) ? 131071 : 524287);
+    if (isSetOthersSlowStreams())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(othersSlowStreams);
+
     return hashCode;
   }
 
@@ -735,6 +976,46 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetTriedStreams(), other.isSetTriedStreams());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTriedStreams()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.triedStreams, other.triedStreams);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetTriedSlowStreams(), other.isSetTriedSlowStreams());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTriedSlowStreams()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.triedSlowStreams, other.triedSlowStreams);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetOthersStreams(), other.isSetOthersStreams());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOthersStreams()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.othersStreams, other.othersStreams);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetOthersSlowStreams(), other.isSetOthersSlowStreams());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOthersSlowStreams()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.othersSlowStreams, other.othersSlowStreams);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -794,6 +1075,30 @@
     sb.append("othersBad:");
     sb.append(this.othersBad);
     first = false;
+    if (isSetTriedStreams()) {
+      if (!first) sb.append(", ");
+      sb.append("triedStreams:");
+      sb.append(this.triedStreams);
+      first = false;
+    }
+    if (isSetTriedSlowStreams()) {
+      if (!first) sb.append(", ");
+      sb.append("triedSlowStreams:");
+      sb.append(this.triedSlowStreams);
+      first = false;
+    }
+    if (isSetOthersStreams()) {
+      if (!first) sb.append(", ");
+      sb.append("othersStreams:");
+      sb.append(this.othersStreams);
+      first = false;
+    }
+    if (isSetOthersSlowStreams()) {
+      if (!first) sb.append(", ");
+      sb.append("othersSlowStreams:");
+      sb.append(this.othersSlowStreams);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -915,6 +1220,38 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 9: // TRIED_STREAMS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.triedStreams = iprot.readI64();
+              struct.setTriedStreamsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 10: // TRIED_SLOW_STREAMS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.triedSlowStreams = iprot.readI64();
+              struct.setTriedSlowStreamsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 11: // OTHERS_STREAMS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.othersStreams = iprot.readI64();
+              struct.setOthersStreamsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 12: // OTHERS_SLOW_STREAMS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.othersSlowStreams = iprot.readI64();
+              struct.setOthersSlowStreamsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -978,6 +1315,26 @@
       oprot.writeFieldBegin(OTHERS_BAD_FIELD_DESC);
       oprot.writeI64(struct.othersBad);
       oprot.writeFieldEnd();
+      if (struct.isSetTriedStreams()) {
+        oprot.writeFieldBegin(TRIED_STREAMS_FIELD_DESC);
+        oprot.writeI64(struct.triedStreams);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetTriedSlowStreams()) {
+        oprot.writeFieldBegin(TRIED_SLOW_STREAMS_FIELD_DESC);
+        oprot.writeI64(struct.triedSlowStreams);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetOthersStreams()) {
+        oprot.writeFieldBegin(OTHERS_STREAMS_FIELD_DESC);
+        oprot.writeI64(struct.othersStreams);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetOthersSlowStreams()) {
+        oprot.writeFieldBegin(OTHERS_SLOW_STREAMS_FIELD_DESC);
+        oprot.writeI64(struct.othersSlowStreams);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1004,6 +1361,32 @@
       oprot.writeI64(struct.triedBad);
       oprot.writeI64(struct.othersGood);
       oprot.writeI64(struct.othersBad);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetTriedStreams()) {
+        optionals.set(0);
+      }
+      if (struct.isSetTriedSlowStreams()) {
+        optionals.set(1);
+      }
+      if (struct.isSetOthersStreams()) {
+        optionals.set(2);
+      }
+      if (struct.isSetOthersSlowStreams()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetTriedStreams()) {
+        oprot.writeI64(struct.triedStreams);
+      }
+      if (struct.isSetTriedSlowStreams()) {
+        oprot.writeI64(struct.triedSlowStreams);
+      }
+      if (struct.isSetOthersStreams()) {
+        oprot.writeI64(struct.othersStreams);
+      }
+      if (struct.isSetOthersSlowStreams()) {
+        oprot.writeI64(struct.othersSlowStreams);
+      }
     }
 
     @Override
@@ -1025,6 +1408,23 @@
       struct.setOthersGoodIsSet(true);
       struct.othersBad = iprot.readI64();
       struct.setOthersBadIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(4);
+      if (incoming.get(0)) {
+        struct.triedStreams = iprot.readI64();
+        struct.setTriedStreamsIsSet(true);
+      }
+      if (incoming.get(1)) {
+        struct.triedSlowStreams = iprot.readI64();
+        struct.setTriedSlowStreamsIsSet(true);
+      }
+      if (incoming.get(2)) {
+        struct.othersStreams = iprot.readI64();
+        struct.setOthersStreamsIsSet(true);
+      }
+      if (incoming.get(3)) {
+        struct.othersSlowStreams = iprot.readI64();
+        struct.setOthersSlowStreamsIsSet(true);
+      }
     }
   }
 
--- a/wagtailmux-peer/src/main/thrift/engine.thrift
+++ b/wagtailmux-peer/src/main/thrift/engine.thrift
@@ -53,6 +53,10 @@
   6: required i64 triedBad
   7: required i64 othersGood
   8: required i64 othersBad
+  9: optional i64 triedStreams
+  10: optional i64 triedSlowStreams
+  11: optional i64 othersStreams
+  12: optional i64 othersSlowStreams
 }
 
 struct PingMessage {
