Give up responses that do not end, and bound the memory for all of them

News of the users: bytes that are no answer may come without end, in a head or a body, until the caller closes. What happened before, by EndlessResponseTests on the code before: - a call with pieces whose body did not end was never given up: its timer stopped at the head, so its endpoint counted as busy for good and its pieces failed at their deadline (fails for both kinds of body); - each response was buffered up to 16 MiB whatever the number of calls, and an event without end was passed on to the caller from 1 MiB on (fails with 48 callers at an instance of 96 MB of heap). A head without end was given up in time already.

Now the timeout of a call is that of the complete response, with a largest size (4 MiB unless set), also for calls to the store and to other instances. Only forwarded responses are passed on while they arrive and end at the request's deadline.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineContext.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineContext.java
@@ -7,6 +7,7 @@
 import io.wagtailmux.decision.admission.Admission;
 import io.wagtailmux.decision.placement.EnginePlacement;
 import io.wagtailmux.decision.placement.PlainPlacement;
+import io.wagtailmux.engine.forward.ResponseMemory;
 import io.wagtailmux.engine.http.HttpClient;
 import io.wagtailmux.engine.port.CallerProtocol;
 import io.wagtailmux.engine.port.EndpointProtocol;
@@ -45,6 +46,8 @@
 
 	private final EnginePlacement enginePlacement = new EnginePlacement();
 
+	private final ResponseMemory responseMemory = ResponseMemory.ofProcess();
+
 	private PieceService pieces;
 
 	/**
@@ -167,6 +170,14 @@
 		return this.admission;
 	}
 
+	/**
+	 * Returns the memory for responses that are not passed on yet.
+	 * @return the memory
+	 */
+	public ResponseMemory responseMemory() {
+		return this.responseMemory;
+	}
+
 	/**
 	 * Returns the placement that chooses among endpoints that are not model engines.
 	 * @return the placement
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/EventSplitter.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/EventSplitter.java
@@ -14,9 +14,6 @@
  */
 final class EventSplitter {
 
-	/** Bytes of a larger event are returned as received, without waiting for its end. */
-	private static final int MAXIMUM_EVENT_BYTES = 1 << 20;
-
 	private static final byte LINE_FEED = '\n';
 
 	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
@@ -41,9 +38,6 @@
 	ByteBuf add(ByteBuf bytes) {
 		this.pending.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
 		int completeLength = scan();
-		if (completeLength == 0 && this.pending.readableBytes() > MAXIMUM_EVENT_BYTES) {
-			completeLength = this.pending.readableBytes();
-		}
 		if (completeLength == 0) {
 			return Unpooled.EMPTY_BUFFER;
 		}
@@ -78,6 +72,14 @@
 		return this.pending.isReadable();
 	}
 
+	/**
+	 * Returns how many bytes of an incomplete event are pending.
+	 * @return the number
+	 */
+	int partialBytes() {
+		return this.pending.readableBytes();
+	}
+
 	/**
 	 * Drops the bytes of an incomplete event.
 	 */
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
@@ -50,8 +50,6 @@
 
 	private static final Duration MINIMUM_RETRY_TIMEOUT = Duration.ofMillis(80);
 
-	private static final int MAXIMUM_BUFFERED_BYTES = 16 << 20;
-
 	/** Status of an endpoint that did not run a request whose stage results are gone. */
 	private static final int CONFLICT = 409;
 
@@ -60,6 +58,8 @@
 
 	private static final int FIRST_SERVER_ERROR = 500;
 
+	private static final int MAXIMUM_EVENT_BYTES = 1 << 20;
+
 	private final EngineContext context;
 
 	private final Exchange exchange;
@@ -70,6 +70,8 @@
 
 	private final Duration startedAt;
 
+	private final ResponseMemory.Reservation memory;
+
 	private long pendingPrefillTokens;
 
 	private ClientCall call;
@@ -95,6 +97,7 @@
 		this.exchange = exchange;
 		this.endpoint = endpoint;
 		this.startedAt = context.time().elapsed();
+		this.memory = context.responseMemory().newReservation();
 	}
 
 	LiveEndpoint endpoint() {
@@ -114,6 +117,7 @@
 				.requestHeaders(this.exchange.head().headers(), this.exchange.forwardedCall(this.endpoint)))
 			.body(this.exchange.body())
 			.timeout(this.exchange.remainingTime().plus(DEADLINE_SLACK))
+			.streamed()
 			.maxIdleTime(repeatable ? MAXIMUM_IDLE_TIME : NON_REPEATABLE_MAXIMUM_IDLE_TIME)
 			.responseFilter(
 					(response) -> this.context.endpoints().isResponseTo(response, this.exchange.request().attempt()))
@@ -158,12 +162,22 @@
 			return;
 		}
 		this.body.addComponent(true, content.retain());
-		if (this.body.readableBytes() > MAXIMUM_BUFFERED_BYTES) {
-			cancel();
-			this.exchange.onCallFailed(this, "response body above " + MAXIMUM_BUFFERED_BYTES + " bytes", false);
+		if (!this.memory.hold(this.body.readableBytes())) {
+			abandon("no memory for a response body of " + this.body.readableBytes() + " bytes");
 		}
 	}
 
+	/**
+	 * Gives up a response that does not end, or that is not one.
+	 * @param why what was received, for the log
+	 */
+	private void abandon(String why) {
+		cancel();
+		load().recordFailure(now());
+		this.exchange.stream().dropPartialEvent();
+		this.exchange.onCallFailed(this, why, false);
+	}
+
 	@Override
 	public void onEnd() {
 		if (this.ended) {
@@ -217,6 +231,13 @@
 		if (first) {
 			this.exchange.onFirstEvent();
 		}
+		if (this.ended) {
+			return;
+		}
+		int partialBytes = this.exchange.stream().partialBytes();
+		if (partialBytes > MAXIMUM_EVENT_BYTES || !this.memory.hold(partialBytes)) {
+			abandon("no end of an event after " + partialBytes + " bytes");
+		}
 	}
 
 	/**
@@ -336,6 +357,7 @@
 	private void markEnded() {
 		this.ended = true;
 		cancelRetryTimer();
+		this.memory.hold(0);
 		onPrefillEnded();
 		load().onCallEnded();
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ResponseStream.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ResponseStream.java
@@ -90,6 +90,14 @@
 		return true;
 	}
 
+	/**
+	 * Returns how many bytes of an incomplete event are kept.
+	 * @return the number
+	 */
+	int partialBytes() {
+		return this.splitter.partialBytes();
+	}
+
 	/**
 	 * Drops the received bytes of an incomplete event, so that the stream can continue
 	 * with the first event of another endpoint.
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientCall.java
@@ -27,6 +27,8 @@
 
 	private boolean sent;
 
+	private long receivedBytes;
+
 	ClientCall(OutgoingRequest request, ResponseListener listener) {
 		this.request = request;
 		this.listener = listener;
@@ -66,7 +68,8 @@
 
 	void startTimer(io.netty.channel.EventLoop loop) {
 		Duration timeout = this.request.timeout();
-		this.timer = loop.schedule(() -> fail(CallFailure.TIMED_OUT, "no response after " + timeout.toMillis() + " ms"),
+		this.timer = loop.schedule(
+				() -> fail(CallFailure.TIMED_OUT, "no complete response after " + timeout.toMillis() + " ms"),
 				timeout.toNanos(), TimeUnit.NANOSECONDS);
 	}
 
@@ -80,11 +83,18 @@
 	}
 
 	void onHead(HttpResponse response) {
-		stopTimer();
+		if (this.request.streamed()) {
+			stopTimer();
+		}
 		this.listener.onHead(response);
 	}
 
 	void onContent(ByteBuf content) {
+		this.receivedBytes += content.readableBytes();
+		if (!this.request.streamed() && this.receivedBytes > this.request.maximumResponseBytes()) {
+			fail(CallFailure.MALFORMED, "response body above " + this.request.maximumResponseBytes() + " bytes");
+			return;
+		}
 		this.listener.onContent(content);
 	}
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/OutgoingRequest.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/OutgoingRequest.java
@@ -35,6 +35,10 @@
 
 	private final Predicate<HttpResponse> responseFilter;
 
+	private final boolean streamed;
+
+	private final int maximumResponseBytes;
+
 	private OutgoingRequest(Builder builder) {
 		this.method = builder.method;
 		this.uri = builder.uri;
@@ -43,6 +47,8 @@
 		this.timeout = builder.timeout;
 		this.maxIdleTime = builder.maxIdleTime;
 		this.responseFilter = builder.responseFilter;
+		this.streamed = builder.streamed;
+		this.maximumResponseBytes = builder.maximumResponseBytes;
 	}
 
 	/**
@@ -91,6 +97,14 @@
 		return this.responseFilter;
 	}
 
+	boolean streamed() {
+		return this.streamed;
+	}
+
+	int maximumResponseBytes() {
+		return this.maximumResponseBytes;
+	}
+
 	/**
 	 * Builds a request. Not thread-safe.
 	 */
@@ -98,6 +112,9 @@
 
 		private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(2);
 
+		/** The store sends pages of up to 1 MB, in which values are encoded. */
+		private static final int DEFAULT_MAXIMUM_RESPONSE_BYTES = 4 << 20;
+
 		private static final Duration DEFAULT_MAX_IDLE_TIME = Duration.ofSeconds(30);
 
 		private final HttpMethod method;
@@ -114,6 +131,10 @@
 
 		private Predicate<HttpResponse> responseFilter = (response) -> true;
 
+		private boolean streamed;
+
+		private int maximumResponseBytes = DEFAULT_MAXIMUM_RESPONSE_BYTES;
+
 		private Builder(HttpMethod method, String uri) {
 			this.method = method;
 			this.uri = uri;
@@ -142,7 +163,8 @@
 		}
 
 		/**
-		 * Sets the longest time to wait for the head of the response.
+		 * Sets the longest time to wait for the complete response, or for its head if the
+		 * response is {@link #streamed()}.
 		 * @param timeout counted from the call of {@link HttpClient#send}; two seconds
 		 * unless set
 		 * @return this builder
@@ -178,6 +200,27 @@
 			return this;
 		}
 
+		/**
+		 * Declares that the response is passed on while it arrives. Neither its size nor
+		 * the time after its head is limited then; the listener has to limit both.
+		 * @return this builder
+		 */
+		public Builder streamed() {
+			this.streamed = true;
+			return this;
+		}
+
+		/**
+		 * Sets the size of the largest response body. A response with more is abandoned,
+		 * and the call fails as {@link CallFailure#MALFORMED}.
+		 * @param maximumResponseBytes the number of bytes; 4 MiB unless set
+		 * @return this builder
+		 */
+		public Builder maximumResponseBytes(int maximumResponseBytes) {
+			this.maximumResponseBytes = maximumResponseBytes;
+			return this;
+		}
+
 		/**
 		 * Builds the request.
 		 * @return the request
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/BatchCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/BatchCall.java
@@ -31,15 +31,14 @@
 final class BatchCall implements ResponseListener {
 
 	/**
-	 * A call fails if its response has not begun after {@link #MINIMUM_TIMEOUT} plus this
-	 * multiple of its expected time.
+	 * A call fails if its response is not complete after {@link #MINIMUM_TIMEOUT} plus
+	 * this multiple of its expected time.
 	 */
 	private static final int TIMEOUT_FACTOR = 4;
 
 	private static final Duration MINIMUM_TIMEOUT = Duration.ofMillis(500);
 
-	/** Content that arrives after this many bytes is discarded. */
-	private static final int MAXIMUM_BODY_BYTES = 1 << 20;
+	private static final int MAXIMUM_RESPONSE_BYTES = 1 << 20;
 
 	/** Status of an endpoint other than the one that the call is meant for. */
 	private static final int MISDIRECTED = 421;
@@ -73,6 +72,7 @@
 		OutgoingRequest request = this.context.endpoints()
 			.pieces(this.endpoint.entry().id(), orders)
 			.timeout(timeout)
+			.maximumResponseBytes(MAXIMUM_RESPONSE_BYTES)
 			.build();
 		this.sentBytes = request.bodyBytes();
 		this.context.client().send(this.endpoint.destination(), request, this);
@@ -101,9 +101,7 @@
 
 	@Override
 	public void onContent(ByteBuf content) {
-		if (this.body.readableBytes() < MAXIMUM_BODY_BYTES) {
-			this.body.addComponent(true, content.retain());
-		}
+		this.body.addComponent(true, content.retain());
 	}
 
 	@Override
