Move the stages of a request out of Exchange

RequestStages runs them, at most twice, and releases their results; Exchange keeps the request's own life.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
@@ -15,7 +15,6 @@
 
 import io.wagtailmux.decision.admission.ChainPlan;
 import io.wagtailmux.decision.placement.EndpointLoad;
-import io.wagtailmux.decision.placement.InputBytes;
 import io.wagtailmux.decision.placement.Placement;
 import io.wagtailmux.engine.EngineContext;
 import io.wagtailmux.engine.port.CallerRequest;
@@ -23,7 +22,6 @@
 import io.wagtailmux.engine.port.PieceFailure;
 import io.wagtailmux.engine.port.ProtocolException;
 import io.wagtailmux.engine.port.ResultHandle;
-import io.wagtailmux.engine.stage.StageRun;
 import io.wagtailmux.engine.state.LiveEndpoint;
 import io.wagtailmux.engine.state.PoolTraffic;
 import io.wagtailmux.model.EndpointId;
@@ -49,9 +47,6 @@
 	 */
 	private static final Duration DEADLINE_SLACK = Duration.ofMillis(40);
 
-	/** Time in which an endpoint with a free slot has read the inputs of a request. */
-	private static final Duration INPUT_READ_TIME = Duration.ofMillis(60);
-
 	/** Assumed delay until a request could be served, where there is no estimate. */
 	private static final Duration ASSUMED_DELAY = Duration.ofMillis(150);
 
@@ -86,14 +81,12 @@
 
 	private ChainPlanner planner;
 
+	private RequestStages stages;
+
 	private Duration deadline;
 
 	private boolean trial;
 
-	private Optional<StageRun> stages = Optional.empty();
-
-	private int stageRuns;
-
 	private int calls;
 
 	private boolean mayHaveRun;
@@ -191,6 +184,8 @@
 		this.pool = found.get();
 		this.trial = this.pool.selectsNextForTrial();
 		this.planner = new ChainPlanner(this.context, this.route, this.request, this.pool);
+		this.stages = new RequestStages(this.context, this.route, this.request, this.match.priority(),
+				this.receivedAt.plus(this.route.timing().target()), this.deadline, this.planner, this::onStagesEnded);
 		ChainPlan plan = this.planner.plan();
 		Optional<Duration> retryAfter = this.context.admission().evaluate(plan.expectedFinish(), remainingTime());
 		if (retryAfter.isPresent()) {
@@ -204,7 +199,7 @@
 		Duration timerDelay = remainingTime().plus(DEADLINE_SLACK);
 		this.deadlineTimer = this.context.loop().schedule(this::onDeadline, timerDelay.toNanos(), TimeUnit.NANOSECONDS);
 		this.pool.retryBudget().recordFirstCall(now());
-		runStages(plan);
+		this.stages.run(plan);
 	}
 
 	/**
@@ -215,19 +210,6 @@
 		this.trial &= this.pool.trialTakesAll();
 	}
 
-	private void runStages(ChainPlan plan) {
-		if (this.route.stages().isEmpty()) {
-			forward();
-			return;
-		}
-		this.stageRuns++;
-		StageRun run = new StageRun(this.context, this.route, this.request, this.match.priority(), plan,
-				this.receivedAt.plus(this.route.timing().target()), this.deadline, this.planner.homeZone(),
-				this::onStagesEnded);
-		this.stages = Optional.of(run);
-		run.start();
-	}
-
 	private void onStagesEnded(Optional<PieceFailure> failure) {
 		if (this.ended) {
 			return;
@@ -236,25 +218,18 @@
 			forward();
 			return;
 		}
-		if (failure.get() == PieceFailure.INPUT_GONE && retryStages()) {
+		if (failure.get() == PieceFailure.INPUT_GONE && this.stages.runAgain()) {
 			return;
 		}
 		failWithoutAnswer(RejectionCode.STAGES_FAILED, "stage failed: " + failure.get());
 	}
 
 	/**
-	 * Runs all stages again, after results that are needed were lost or released.
-	 * @return whether the stages were started; false if they ran twice already or would
-	 * not end before the deadline
+	 * Runs all stages again, after results that the endpoint needs were lost.
+	 * @return whether the stages were started
 	 */
 	boolean retryStages() {
-		ChainPlan plan = this.planner.plan();
-		if (!mayRetryStages(plan)) {
-			return false;
-		}
-		this.stages.ifPresent(StageRun::release);
-		runStages(plan);
-		return true;
+		return this.stages.runAgain();
 	}
 
 	private void forward() {
@@ -262,8 +237,8 @@
 		List<EndpointLoad> candidates = this.pool.candidates(this.trial, now);
 		Optional<Placement> placement = this.pool.pool().engine().isPresent()
 				? this.context.enginePlacement()
-					.choose(candidates, this.tried, this.request.generation(),
-							this.stages.map(StageRun::inputBytes).orElse(InputBytes.NONE), this.planner.homeZone(), now)
+					.choose(candidates, this.tried, this.request.generation(), this.stages.inputBytes(),
+							this.planner.homeZone(), now)
 				: this.context.plainPlacement().choose(candidates, this.tried, now);
 		if (placement.isEmpty()) {
 			failWithoutAnswer(RejectionCode.NO_ENDPOINT, candidates.size() + " of " + this.pool.endpoints().size()
@@ -279,28 +254,8 @@
 		ForwardCall call = new ForwardCall(this.context, this, endpoint);
 		this.current = Optional.of(call);
 		call.send();
-		this.stages.ifPresent((run) -> releaseInputsOnceRead(run, call));
-	}
-
-	/**
-	 * Releases the results of the stages once the endpoint has read them, which it does
-	 * before it starts the request: memory for results is scarce under high load, and the
-	 * first event comes much later. An endpoint without a free slot reads them later, so
-	 * they are kept until its first event, and so are the results of a second run, after
-	 * which the stages do not run again.
-	 * @param run the run of the stages
-	 * @param call the call to the endpoint that reads the results
-	 */
-	private void releaseInputsOnceRead(StageRun run, ForwardCall call) {
-		boolean queued = call.endpoint().load().outstandingRequests(now()) > call.endpoint().load().slots();
-		if (queued || this.stageRuns > 1) {
-			return;
-		}
-		this.context.loop().schedule(() -> {
-			if (this.current.filter(call::equals).isPresent()) {
-				run.release();
-			}
-		}, INPUT_READ_TIME.toMillis(), TimeUnit.MILLISECONDS);
+		boolean queued = endpoint.load().outstandingRequests(now()) > endpoint.load().slots();
+		this.stages.releaseOnceRead(queued, () -> this.current.filter(call::equals).isPresent());
 	}
 
 	/**
@@ -331,8 +286,8 @@
 	 * @return false if the stages would have to run again and cannot
 	 */
 	private boolean retry() {
-		if (this.stages.map(StageRun::released).orElse(false)) {
-			return retryStages();
+		if (this.stages.released()) {
+			return this.stages.runAgain();
 		}
 		forward();
 		return true;
@@ -381,15 +336,7 @@
 		boolean untried = this.pool.candidates(this.trial, now())
 			.stream()
 			.anyMatch((candidate) -> !this.tried.contains(candidate.id()));
-		return untried && inputsAvailable() && mayRetry(false) && this.pool.retryBudget().tryAcquire(now());
-	}
-
-	private boolean inputsAvailable() {
-		return !this.stages.map(StageRun::released).orElse(false) || mayRetryStages(this.planner.plan());
-	}
-
-	private boolean mayRetryStages(ChainPlan plan) {
-		return this.stageRuns <= 1 && plan.expectedFinish().compareTo(remainingTime()) <= 0;
+		return untried && this.stages.inputsAvailable() && mayRetry(false) && this.pool.retryBudget().tryAcquire(now());
 	}
 
 	/**
@@ -475,7 +422,7 @@
 	 */
 	void onFirstEvent() {
 		this.context.metrics().recordFirstByte(now().minus(this.receivedAt));
-		this.stages.ifPresent(StageRun::release);
+		this.stages.release();
 	}
 
 	ResponseStream stream() {
@@ -515,7 +462,7 @@
 	}
 
 	ForwardedCall forwardedCall(LiveEndpoint endpoint) {
-		List<ResultHandle> inputs = this.stages.map(StageRun::inputs).orElse(List.of());
+		List<ResultHandle> inputs = this.stages.inputs();
 		Optional<String> lastEvent = this.stream.lastEventId().or(() -> this.request.lastEventId());
 		return new ForwardedCall(endpoint.entry().id(), remainingTime(), this.match.organisation(), inputs, lastEvent,
 				urgency());
@@ -547,7 +494,9 @@
 		}
 		this.current.ifPresent(ForwardCall::cancel);
 		this.current = Optional.empty();
-		this.stages.ifPresent(StageRun::release);
+		if (this.stages != null) {
+			this.stages.release();
+		}
 		this.body.release();
 		Duration elapsed = now().minus(this.receivedAt);
 		this.context.metrics().recordRequest(status, elapsed);
