Ask for keys also after the last one was taken away

Cause: ServingConfiguration.hasOrganisations told whether any organisation has a key, and RouteMatch asked for a key only then, so that "there is no key" counted as "no keys are asked for". The protocol asks for a key if the configuration contains the field of organisations.

Change: the configuration keeps whether it speaks of organisations (requiresKeys); an empty list is something else than no list.

Why it works: whether keys are needed no longer depends on how many there are. Without the field nothing changes.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/RouteMatch.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/RouteMatch.java
@@ -39,7 +39,7 @@
 			.orElseThrow(() -> new RejectionException(RejectionCode.NO_ROUTE,
 					"no route for host " + host + " in configuration version " + configuration.version()));
 		Optional<OrganisationKeys> keys = request.key().flatMap(configuration::organisation);
-		if (keys.isEmpty() && configuration.hasOrganisations() && !route.anonymous()) {
+		if (keys.isEmpty() && configuration.requiresKeys() && !route.anonymous()) {
 			throw new RejectionException(RejectionCode.UNKNOWN_KEY,
 					"API key missing or unknown in configuration version " + configuration.version());
 		}
--- a/wagtailmux-model/src/main/java/io/wagtailmux/model/serving/ServingConfiguration.java
+++ b/wagtailmux-model/src/main/java/io/wagtailmux/model/serving/ServingConfiguration.java
@@ -25,6 +25,8 @@
 
 	private final Map<String, List<Route>> routesByHost = new HashMap<>();
 
+	private final boolean keysRequired;
+
 	private final Map<String, OrganisationKeys> organisationsByKey = new HashMap<>();
 
 	/**
@@ -33,11 +35,12 @@
 	 * @param routes all routes
 	 * @param pools all pools
 	 * @param limits the limits on requests and connections of callers
-	 * @param organisations the organisations with their keys; empty if callers need no
+	 * @param organisations the organisations with their keys, of which there may be none;
+	 * empty if the configuration does not speak of organisations, so that callers need no
 	 * keys
 	 */
 	public ServingConfiguration(long version, List<Route> routes, Map<PoolId, ServingPool> pools, CallerLimits limits,
-			List<OrganisationKeys> organisations) {
+			Optional<List<OrganisationKeys>> organisations) {
 		this.version = version;
 		this.pools = Map.copyOf(pools);
 		this.limits = limits;
@@ -46,7 +49,8 @@
 		}
 		Comparator<Route> longestPrefixFirst = Comparator.comparingInt((route) -> -route.prefix().length());
 		this.routesByHost.values().forEach((list) -> list.sort(longestPrefixFirst));
-		for (OrganisationKeys organisation : organisations) {
+		this.keysRequired = organisations.isPresent();
+		for (OrganisationKeys organisation : organisations.orElse(List.of())) {
 			organisation.keys().forEach((key) -> this.organisationsByKey.put(key, organisation));
 		}
 	}
@@ -91,10 +95,11 @@
 
 	/**
 	 * Returns whether callers need keys on routes that are not anonymous.
-	 * @return whether any organisation has a key
+	 * @return whether the configuration speaks of organisations, also if none of them has
+	 * a key, so that no request is admitted on these routes
 	 */
-	public boolean hasOrganisations() {
-		return !this.organisationsByKey.isEmpty();
+	public boolean requiresKeys() {
+		return this.keysRequired;
 	}
 
 	/**
