Log and count errors of the traffic thread that no code expects

An error in the handling of a response closed the connection without a line; an error in a timer was kept by the timer; neither was counted. Without a line the possible causes could not be told apart.

Cause: the exception handlers of connections only closed them, and the event loop keeps the errors of scheduled tasks to itself.

Change: all tasks and timers of the traffic thread run through TrafficLoop, which records what they throw, and all connection handlers record errors other than those of input and output: an ERROR line with the place in the program, and the counter unexpected_errors.

No behaviour other than log and counter is changed here.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineContext.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineContext.java
@@ -2,8 +2,6 @@
 
 import java.util.random.RandomGenerator;
 
-import io.netty.channel.EventLoop;
-
 import io.wagtailmux.decision.admission.Admission;
 import io.wagtailmux.decision.placement.EnginePlacement;
 import io.wagtailmux.decision.placement.PlainPlacement;
@@ -15,6 +13,8 @@
 import io.wagtailmux.engine.stage.PieceService;
 import io.wagtailmux.engine.state.EndpointStatements;
 import io.wagtailmux.engine.state.ServingState;
+import io.wagtailmux.engine.thread.TrafficLoop;
+import io.wagtailmux.engine.thread.UnexpectedErrors;
 import io.wagtailmux.model.AvailabilityZoneId;
 import io.wagtailmux.model.TimeSource;
 
@@ -107,13 +107,21 @@
 	}
 
 	/**
-	 * Returns the event loop that handles all traffic.
+	 * Returns the loop that handles all traffic.
 	 * @return the loop
 	 */
-	public EventLoop loop() {
+	public TrafficLoop loop() {
 		return this.client.loop();
 	}
 
+	/**
+	 * Returns the recorder of errors that no code expects.
+	 * @return the recorder
+	 */
+	public UnexpectedErrors errors() {
+		return loop().errors();
+	}
+
 	/**
 	 * Returns the clock.
 	 * @return the time source
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
@@ -15,7 +15,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.util.concurrent.DefaultThreadFactory;
@@ -50,6 +49,8 @@
 import io.wagtailmux.engine.state.ServingView;
 import io.wagtailmux.engine.state.StopPlan;
 import io.wagtailmux.engine.state.TrialReport;
+import io.wagtailmux.engine.thread.TrafficLoop;
+import io.wagtailmux.engine.thread.UnexpectedErrors;
 import io.wagtailmux.model.ModelException;
 import io.wagtailmux.model.PoolId;
 import io.wagtailmux.model.TimeSource;
@@ -100,7 +101,10 @@
 
 	private final NioEventLoopGroup trafficGroup = new NioEventLoopGroup(1, new DefaultThreadFactory("traffic"));
 
-	private final EventLoop traffic = this.trafficGroup.next();
+	private final MetricRegistry registry = new MetricRegistry();
+
+	private final TrafficLoop traffic = new TrafficLoop(this.trafficGroup.next(),
+			new UnexpectedErrors(this.registry.counter("unexpected_errors")));
 
 	private final ScheduledExecutorService controlThread = Executors
 		.newSingleThreadScheduledExecutor(new DefaultThreadFactory("control"));
@@ -140,7 +144,7 @@
 			Function<HttpClient, RowStore> store) {
 		this.settings = settings;
 		HttpClient client = new HttpClient(this.traffic, this.time);
-		EngineMetrics metrics = new EngineMetrics(new MetricRegistry());
+		EngineMetrics metrics = new EngineMetrics(this.registry);
 		ServingState state = new ServingState(new DutyCandidate(settings.instance(), settings.capacity()),
 				settings.limits(), this.time,
 				(pool) -> new RefusalObserver(pool, metrics, (refusal) -> saveRefusal(pool, refusal)));
@@ -156,10 +160,11 @@
 			.setCores(settings.capacity().cores())
 			.setLinkMegabits(settings.capacity().linkMegabits());
 		this.control = new ServingControl(this.self, facts, store.apply(client), client, this.controlThread, this.time,
-				FeedTiming.of(settings.recoveryBound()), (view) -> this.traffic.execute(() -> applyView(view)),
-				(consumer) -> this.traffic.execute(() -> consumer.accept(state.trialReports())),
+				FeedTiming.of(settings.recoveryBound()),
+				(view) -> this.traffic.execute("new view", () -> applyView(view)),
+				(consumer) -> this.traffic.execute("reports of trials", () -> consumer.accept(state.trialReports())),
 				settings.limits().exposureShare(), this::onHeartbeatAnswer, this::onRefusalRead,
-				(era) -> this.traffic.execute(() -> onStoreRestored(era)));
+				(era) -> this.traffic.execute("restored store", () -> onStoreRestored(era)));
 	}
 
 	/**
@@ -185,9 +190,9 @@
 	}
 
 	private void listenOnAll() {
-		listen(this.settings.readiness(),
-				() -> new ReadinessHandler(this.settings.readinessPath(), () -> this.configured && !this.stopping));
-		this.listeners.add(new HttpListener(this.traffic, this.settings.callers(),
+		listen(this.settings.readiness(), () -> new ReadinessHandler(this.settings.readinessPath(),
+				() -> this.configured && !this.stopping, this.traffic.errors()));
+		this.listeners.add(new HttpListener(this.traffic.eventLoop(), this.settings.callers(),
 				() -> this.connections.limits().headerBytes(), this.connections::createHandler));
 		listen(this.settings.peers(), this::peerHandler);
 		listen(this.settings.metrics(), this::metricsHandler);
@@ -202,7 +207,7 @@
 	 * the grace period
 	 */
 	public void stop(Runnable whenStopped) {
-		this.traffic.execute(() -> {
+		this.traffic.execute("begin of the shutdown", () -> {
 			if (this.stopping) {
 				return;
 			}
@@ -219,7 +224,7 @@
 	}
 
 	private void listen(InetSocketAddress address, Supplier<ChannelHandler> handlers) {
-		this.listeners.add(new HttpListener(this.traffic, address, () -> PEER_HEADER_BYTES, handlers));
+		this.listeners.add(new HttpListener(this.traffic.eventLoop(), address, () -> PEER_HEADER_BYTES, handlers));
 	}
 
 	@Override
@@ -237,7 +242,8 @@
 				channel.pipeline()
 					.addLast(new HttpObjectAggregator(PEER_BODY_BYTES),
 							new PeerHandler(EngineProcess.this.localPieces, EngineProcess.this::pingMessage,
-									EngineProcess.this.control::knownTables, EngineProcess.this::mergeReports));
+									EngineProcess.this.control::knownTables, EngineProcess.this::mergeReports,
+									EngineProcess.this.traffic.errors()));
 			}
 
 		};
@@ -250,7 +256,7 @@
 			protected void initChannel(Channel channel) {
 				channel.pipeline()
 					.addLast(new RefusalsHandler(EngineProcess.this.context.state()),
-							new MetricsHandler(EngineProcess.this.context.metrics().registry()));
+							new MetricsHandler(EngineProcess.this.registry, EngineProcess.this.traffic.errors()));
 			}
 
 		};
@@ -273,7 +279,7 @@
 
 	private void onHeartbeatAnswer(PingMessage answer) {
 		if (answer.isSetPoison() || answer.isSetLimits()) {
-			this.traffic.execute(() -> mergeReports(answer));
+			this.traffic.execute("reports of an instance", () -> mergeReports(answer));
 		}
 	}
 
@@ -295,7 +301,7 @@
 	}
 
 	private void onRefusalRead(RefusalMessage message) {
-		this.traffic.execute(() -> {
+		this.traffic.execute("stored refusal", () -> {
 			try {
 				this.context.state()
 					.mergeRefusal(new PoolId(message.getPool()), PoisonMessages.refusal(message, this.time.elapsed()));
@@ -359,7 +365,7 @@
 			this.controlThread.schedule(this.whenStopped, STOP_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 			return;
 		}
-		this.traffic.schedule(this::checkStop, STOP_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+		this.traffic.schedule("check of the shutdown", STOP_CHECK_INTERVAL, this::checkStop);
 	}
 
 	/**
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Membership.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Membership.java
@@ -368,7 +368,7 @@
 			PingMessage answer = ThriftCodec.decode(body, new PingMessage());
 			this.control.execute(() -> onHeartbeatAnswer(instance, answer));
 		}, (why) -> this.control.execute(() -> instance.heartbeatPending = false));
-		this.client.loop().execute(() -> this.client.send(instance.destination, request, call));
+		this.client.loop().execute("heartbeat", () -> this.client.send(instance.destination, request, call));
 	}
 
 	private void onHeartbeatAnswer(KnownInstance instance, PingMessage answer) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/PeerFacts.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/PeerFacts.java
@@ -71,7 +71,7 @@
 				this.control.execute(() -> onAnswer(destination, answer, onFacts, whenEnded));
 			}, (why) -> this.control
 				.execute(() -> onAnswer(destination, new KnownTablesMessage(List.of()), onFacts, whenEnded)));
-			this.client.loop().execute(() -> this.client.send(destination, request, call));
+			this.client.loop().execute("question to an instance", () -> this.client.send(destination, request, call));
 		}
 	}
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/CrashWatch.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/CrashWatch.java
@@ -9,10 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-import io.netty.channel.EventLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -23,6 +21,7 @@
 import io.wagtailmux.engine.http.Listening;
 import io.wagtailmux.engine.state.LiveEndpoint;
 import io.wagtailmux.engine.state.PoolTraffic;
+import io.wagtailmux.engine.thread.TrafficLoop;
 import io.wagtailmux.model.TimeSource;
 
 /**
@@ -56,7 +55,7 @@
 
 	private final HttpClient client;
 
-	private final EventLoop loop;
+	private final TrafficLoop loop;
 
 	private final TimeSource time;
 
@@ -151,9 +150,8 @@
 	}
 
 	private void scheduleCheck(BrokenCalls calls) {
-		this.loop.schedule(
-				() -> this.client.checkListening(calls.endpoint.destination(), (result) -> onChecked(calls, result)),
-				CHECK_DELAY.toNanos(), TimeUnit.NANOSECONDS);
+		this.loop.schedule("check of an endpoint", CHECK_DELAY,
+				() -> this.client.checkListening(calls.endpoint.destination(), (result) -> onChecked(calls, result)));
 	}
 
 	private void onChecked(BrokenCalls calls, Listening result) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -221,7 +220,7 @@
 			.admitted(this.request.attempt(), this.route.name(), configuration.version(), remainingTime(),
 					plan.expectedFinish(), this.request.generation().sharedParts(), this.fingerprint.value());
 		Duration timerDelay = remainingTime().plus(DEADLINE_SLACK);
-		this.deadlineTimer = this.context.loop().schedule(this::onDeadline, timerDelay.toNanos(), TimeUnit.NANOSECONDS);
+		this.deadlineTimer = this.context.loop().schedule("deadline of a request", timerDelay, this::onDeadline);
 		this.pool.retryBudget().recordFirstCall(now());
 		this.stages.run(plan);
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
@@ -133,8 +132,7 @@
 					(response) -> this.context.endpoints().isResponseTo(response, this.exchange.request().attempt()))
 			.build();
 		if (this.exchange.mayTryAnother()) {
-			this.retryTimer = this.context.loop()
-				.schedule(this::onRetryTimeout, retryTimeout().toNanos(), TimeUnit.NANOSECONDS);
+			this.retryTimer = this.context.loop().schedule("retry after a time", retryTimeout(), this::onRetryTimeout);
 		}
 		this.call = this.context.client().send(this.endpoint.destination(), request, this);
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/RequestStages.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/RequestStages.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
@@ -154,11 +153,11 @@
 			return;
 		}
 		StageRun run = this.current.orElseThrow();
-		this.context.loop().schedule(() -> {
+		this.context.loop().schedule("release of inputs", INPUT_READ_TIME, () -> {
 			if (stillCalled.getAsBoolean()) {
 				run.release();
 			}
-		}, INPUT_READ_TIME.toMillis(), TimeUnit.MILLISECONDS);
+		});
 	}
 
 	private boolean mayRunAgain(ChainPlan plan) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnection.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnection.java
@@ -4,7 +4,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
@@ -138,6 +137,7 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
+		this.context.errors().recordOnConnection("caller's connection", cause);
 		this.context.log().notProcessed(0, "caller connection failed: " + cause);
 		this.channel.close();
 	}
@@ -218,7 +218,7 @@
 		Exchange started = new Exchange(this.context, new Sink(keep, request), request, complete, this.headAt);
 		this.exchange = started;
 		// Not before a close was handled that arrived with the request.
-		this.context.loop().execute(() -> {
+		this.context.loop().execute("start of a request", () -> {
 			if (this.exchange == started && this.channel.isActive()) {
 				started.start();
 			}
@@ -284,7 +284,7 @@
 	}
 
 	private Future<?> schedule(Duration delay, Runnable action) {
-		return this.channel.eventLoop().schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS);
+		return this.context.loop().schedule("timer of a caller's connection", delay, action);
 	}
 
 	private void cancelTimers() {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/MetricsHandler.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/MetricsHandler.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.prometheus.client.dropwizard.DropwizardExports;
 import io.prometheus.client.exporter.common.TextFormat;
+import io.wagtailmux.engine.thread.UnexpectedErrors;
 
 /**
  * Serves the metrics in the Prometheus text format, for any request, and closes the
@@ -31,11 +32,15 @@
 
 	private final MetricRegistry registry;
 
+	private final UnexpectedErrors errors;
+
 	/**
 	 * Creates the handler of one connection.
 	 * @param registry the metrics, read at each request
+	 * @param errors records errors that no code expects
 	 */
-	public MetricsHandler(MetricRegistry registry) {
+	public MetricsHandler(MetricRegistry registry, UnexpectedErrors errors) {
+		this.errors = errors;
 		this.registry = registry;
 	}
 
@@ -58,6 +63,7 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		this.errors.recordOnConnection("metrics or an operation", cause);
 		context.close();
 	}
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/ReadinessHandler.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/ReadinessHandler.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.wagtailmux.engine.thread.UnexpectedErrors;
 
 /**
  * Answers the readiness probes of the load balancer: 200 when ready, 503 when not, 404 on
@@ -27,6 +28,8 @@
 
 	private final BooleanSupplier ready;
 
+	private final UnexpectedErrors errors;
+
 	private HttpRequest request;
 
 	/**
@@ -34,8 +37,10 @@
 	 * @param path the path of the probe, compared with the whole request target
 	 * @param ready returns whether this instance accepts new connections; called for each
 	 * probe on the connection's event loop
+	 * @param errors records errors that no code expects
 	 */
-	public ReadinessHandler(String path, BooleanSupplier ready) {
+	public ReadinessHandler(String path, BooleanSupplier ready, UnexpectedErrors errors) {
+		this.errors = errors;
 		this.path = path;
 		this.ready = ready;
 	}
@@ -56,6 +61,7 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		this.errors.recordOnConnection("readiness probe", cause);
 		context.close();
 	}
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientCall.java
@@ -1,11 +1,11 @@
 package io.wagtailmux.engine.http;
 
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.util.concurrent.ScheduledFuture;
+import io.netty.util.concurrent.Future;
+import io.wagtailmux.engine.thread.TrafficLoop;
 
 /**
  * One request in flight. Its listener is notified of the end exactly once. All methods
@@ -19,9 +19,11 @@
 
 	private final ResponseListener listener;
 
+	private final TrafficLoop loop;
+
 	private ClientConnection connection;
 
-	private ScheduledFuture<?> timer;
+	private Future<?> timer;
 
 	private boolean done;
 
@@ -29,9 +31,10 @@
 
 	private long receivedBytes;
 
-	ClientCall(OutgoingRequest request, ResponseListener listener) {
+	ClientCall(OutgoingRequest request, ResponseListener listener, TrafficLoop loop) {
 		this.request = request;
 		this.listener = listener;
+		this.loop = loop;
 	}
 
 	/**
@@ -66,11 +69,10 @@
 		return this.request;
 	}
 
-	void startTimer(io.netty.channel.EventLoop loop) {
+	void startTimer() {
 		Duration timeout = this.request.timeout();
-		this.timer = loop.schedule(
-				() -> fail(CallFailure.TIMED_OUT, "no complete response after " + timeout.toMillis() + " ms"),
-				timeout.toNanos(), TimeUnit.NANOSECONDS);
+		this.timer = this.loop.schedule("timeout of a call", timeout,
+				() -> fail(CallFailure.TIMED_OUT, "no complete response after " + timeout.toMillis() + " ms"));
 	}
 
 	void markSent(ClientConnection usedConnection) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientConnection.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientConnection.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
+import io.wagtailmux.engine.thread.UnexpectedErrors;
 import io.wagtailmux.model.TimeSource;
 
 /**
@@ -39,6 +40,8 @@
 
 	private final TimeSource time;
 
+	private final UnexpectedErrors errors;
+
 	private Channel channel;
 
 	private ClientCall call;
@@ -55,9 +58,10 @@
 
 	private Duration idleLimit = KeepAliveHeader.DEFAULT_IDLE_LIMIT;
 
-	ClientConnection(HttpDestination destination, TimeSource time) {
+	ClientConnection(HttpDestination destination, TimeSource time, UnexpectedErrors errors) {
 		this.destination = destination;
 		this.time = time;
+		this.errors = errors;
 	}
 
 	@Override
@@ -112,6 +116,7 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		this.errors.recordOnConnection("response to a call", cause);
 		failCall(CallFailure.BROKEN, String.valueOf(cause.getMessage()));
 		close();
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/HttpClient.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/HttpClient.java
@@ -9,11 +9,11 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 
+import io.wagtailmux.engine.thread.TrafficLoop;
 import io.wagtailmux.model.TimeSource;
 
 /**
@@ -44,7 +44,7 @@
 
 	private static final int MAX_CHUNK_BYTES = 16_384;
 
-	private final EventLoop loop;
+	private final TrafficLoop loop;
 
 	private final TimeSource time;
 
@@ -52,13 +52,13 @@
 
 	/**
 	 * Creates a client without connections.
-	 * @param loop the event loop for all connections, timers and notifications
+	 * @param loop the loop for all connections, timers and notifications
 	 * @param time the clock that measures the idle time of connections
 	 */
-	public HttpClient(EventLoop loop, TimeSource time) {
+	public HttpClient(TrafficLoop loop, TimeSource time) {
 		this.loop = loop;
 		this.time = time;
-		this.bootstrap = TcpKeepAlive.applyTo(new Bootstrap().group(loop)
+		this.bootstrap = TcpKeepAlive.applyTo(new Bootstrap().group(loop.eventLoop())
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis()));
@@ -73,8 +73,8 @@
 	 * @return the call, which can be cancelled
 	 */
 	public ClientCall send(HttpDestination destination, OutgoingRequest request, ResponseListener listener) {
-		ClientCall call = new ClientCall(request, listener);
-		call.startTimer(this.loop);
+		ClientCall call = new ClientCall(request, listener, this.loop);
+		call.startTimer();
 		Optional<ClientConnection> idle = destination.takeIdle(request.maxIdleTime(), this.time.elapsed());
 		if (idle.isPresent()) {
 			idle.get().send(call);
@@ -102,15 +102,15 @@
 	}
 
 	/**
-	 * Returns the event loop that all calls belong to.
-	 * @return the event loop
+	 * Returns the loop that all calls belong to.
+	 * @return the loop
 	 */
-	public EventLoop loop() {
+	public TrafficLoop loop() {
 		return this.loop;
 	}
 
 	private void connect(HttpDestination destination, ClientCall call) {
-		ClientConnection connection = new ClientConnection(destination, this.time);
+		ClientConnection connection = new ClientConnection(destination, this.time, this.loop.errors());
 		ChannelFuture connectFuture = this.bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
 
 			@Override
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/EvidenceSender.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/EvidenceSender.java
@@ -1,7 +1,6 @@
 package io.wagtailmux.engine.peer;
 
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import io.netty.buffer.Unpooled;
@@ -63,7 +62,7 @@
 			return;
 		}
 		this.scheduled = true;
-		this.context.loop().schedule(this::sendNow, wait.toNanos(), TimeUnit.NANOSECONDS);
+		this.context.loop().schedule("evidence to other instances", wait, this::sendNow);
 	}
 
 	private void sendNow() {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PeerHandler.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PeerHandler.java
@@ -23,6 +23,7 @@
 import io.wagtailmux.engine.port.ResultHandle;
 import io.wagtailmux.engine.stage.LocalPieceService;
 import io.wagtailmux.engine.stage.PieceGroup;
+import io.wagtailmux.engine.thread.UnexpectedErrors;
 import io.wagtailmux.model.PoolId;
 import io.wagtailmux.peer.wire.FreeResultsMessage;
 import io.wagtailmux.peer.wire.KnownTablesMessage;
@@ -51,6 +52,8 @@
 
 	private final Consumer<PingMessage> onEvidence;
 
+	private final UnexpectedErrors errors;
+
 	private Runnable cancellation = NO_ACTION;
 
 	/**
@@ -61,9 +64,12 @@
 	 * @param knownTables returns what this instance knows of the store's tables; called
 	 * on the traffic thread
 	 * @param onEvidence receives what another instance has just learned
+	 * @param errors records errors that no code expects
 	 */
 	public PeerHandler(LocalPieceService pieceService, Supplier<PingMessage> pingMessage,
-			Supplier<CompletableFuture<KnownTablesMessage>> knownTables, Consumer<PingMessage> onEvidence) {
+			Supplier<CompletableFuture<KnownTablesMessage>> knownTables, Consumer<PingMessage> onEvidence,
+			UnexpectedErrors errors) {
+		this.errors = errors;
 		this.pieceService = pieceService;
 		this.pingMessage = pingMessage;
 		this.knownTables = knownTables;
@@ -89,6 +95,7 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		this.errors.recordOnConnection("request of an instance", cause);
 		context.close();
 	}
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/LocalPieceService.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/LocalPieceService.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
@@ -102,7 +101,7 @@
 	private void scheduleReleases(Duration delay) {
 		if (!this.releaseScheduled && !this.pendingReleases.isEmpty()) {
 			this.releaseScheduled = true;
-			this.context.loop().schedule(this::sendReleases, delay.toMillis(), TimeUnit.MILLISECONDS);
+			this.context.loop().schedule("release of results", delay, this::sendReleases);
 		}
 	}
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
@@ -191,11 +190,13 @@
 	}
 
 	private void scheduleInputRelease(OwnedGroup owned) {
-		owned.group().releasableInputPool().ifPresent((pool) -> this.context.loop().schedule(() -> {
-			if (owned.allSent()) {
-				this.context.pieces().free(pool, owned.group().inputs());
-			}
-		}, INPUT_READING_TIME.toMillis(), TimeUnit.MILLISECONDS));
+		owned.group()
+			.releasableInputPool()
+			.ifPresent((pool) -> this.context.loop().schedule("release of inputs", INPUT_READING_TIME, () -> {
+				if (owned.allSent()) {
+					this.context.pieces().free(pool, owned.group().inputs());
+				}
+			}));
 	}
 
 	private void onBatchEnded(BatchCall call, BatchOutcome batchOutcome, List<PieceOutcome> pieceOutcomes) {
@@ -330,10 +331,10 @@
 		if (this.sweep != null || this.planner.waiting() == 0) {
 			return;
 		}
-		this.sweep = this.context.loop().schedule(() -> {
+		this.sweep = this.context.loop().schedule("sweep of waiting pieces", SWEEP_INTERVAL, () -> {
 			this.sweep = null;
 			sendBatches();
-		}, SWEEP_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+		});
 	}
 
 	private static PieceOutcome failed(PieceFailure failure) {
--- a/wagtailmux-engine/src/test/java/io/wagtailmux/engine/http/HttpClientTests.java
+++ b/wagtailmux-engine/src/test/java/io/wagtailmux/engine/http/HttpClientTests.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
+import com.codahale.metrics.Counter;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -16,6 +17,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
+import io.wagtailmux.engine.thread.TrafficLoop;
+import io.wagtailmux.engine.thread.UnexpectedErrors;
 import io.wagtailmux.model.TimeSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -37,7 +40,8 @@
 	void aRequestWhoseConditionEndsWhileItsConnectionOpensIsNotSent() throws Exception {
 		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
 			EventLoop loop = this.group.next();
-			HttpClient client = new HttpClient(loop, TimeSource.system());
+			HttpClient client = new HttpClient(new TrafficLoop(loop, new UnexpectedErrors(new Counter())),
+					TimeSource.system());
 			HttpDestination destination = new HttpDestination(
 					new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort()));
 			OutgoingRequest request = OutgoingRequest.of(HttpMethod.GET, "/x").onlyIf(() -> false).build();
