Keep pieces apart that are submitted twice to the owner of their pool

Cause: the owner of a pool kept pieces by attempt, stage and index. When a request runs its stages again while a piece of its first run is at an endpoint, the second piece takes the first one's place; the answer to the first call removes the entry, and the next batch, whose call the planner has counted as started, finds no group. The NullPointerException leaves the endpoint's slot taken for ever.

Change: each group that is submitted gets a number, which is part of the ids of its pieces.

Why it works: no id is used a second time while its first use is open, so that an entry belongs to the piece that waits or is at an endpoint; the late result of a cancelled run is released as such.

--- a/wagtailmux-decision/src/test/java/io/wagtailmux/decision/stage/BatchPlannerTests.java
+++ b/wagtailmux-decision/src/test/java/io/wagtailmux/decision/stage/BatchPlannerTests.java
@@ -10,6 +10,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.LongStream;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -173,7 +174,7 @@
 	@CsvSource({ "900, 3000, 900, false", "3000, 900, 900, false", "2500, 3000, 2500, true" })
 	void piecesThatCannotWaitForTheFirstReturnAreDroppedAtOnce(long northMillis, long southMillis, long waitMillis,
 			boolean dropped) {
-		PieceTicket ticket = new PieceTicket(new PieceId(new AttemptId("a"), 0, 0), 0, NOW.plusMillis(2000),
+		PieceTicket ticket = new PieceTicket(new PieceId(new AttemptId("a"), 0, 0, 1), 0, NOW.plusMillis(2000),
 				NOW.plusMillis(2500), 10, Optional.empty(), false);
 		this.planner.add(ticket);
 		this.planner.stayAway(this.northern, NOW.plusMillis(northMillis));
@@ -194,14 +195,32 @@
 		assertThat(this.planner.next(NOW.plusMillis(100))).isEmpty();
 	}
 
+	/**
+	 * Load pattern: a request runs its stages again while its pieces still wait or are at
+	 * an endpoint. Guards against pieces that take the place of others with their id.
+	 */
+	@Test
+	void pieceThatIsSubmittedTwiceIsSentTwiceUnlessOneIsRemoved() {
+		AttemptId attempt = new AttemptId("twice");
+		List<PieceTicket> submitted = LongStream.rangeClosed(1, 3)
+			.mapToObj((submission) -> new PieceTicket(new PieceId(attempt, 0, 0, submission), 0, NOW.plusMillis(900),
+					NOW.plusSeconds(3), 1, Optional.empty(), false))
+			.toList();
+		submitted.forEach(this.planner::add);
+		assertThat(this.planner.remove(submitted.get(0).id())).isTrue();
+		assertThat(this.planner.remove(submitted.get(0).id())).isFalse();
+		assertThat(this.planner.next(NOW).orElseThrow().pieces()).containsExactlyElementsOf(submitted.subList(1, 3));
+		assertThat(this.planner.waiting()).isZero();
+	}
+
 	/** So that an end of the endpoint shows which request is to blame. */
 	@Test
 	void piecesOfARequestThatMayCrashEndpointsShareCallsWithNoOthers() {
 		AttemptId suspect = new AttemptId("suspect");
 		this.planner.add(ticket(0, 500, Optional.empty()));
 		for (int piece = 0; piece < 2; piece++) {
-			this.planner.add(new PieceTicket(new PieceId(suspect, 0, piece), 0, NOW.plusMillis(900), NOW.plusSeconds(3),
-					1, Optional.empty(), true));
+			this.planner.add(new PieceTicket(new PieceId(suspect, 0, piece, 1), 0, NOW.plusMillis(900),
+					NOW.plusSeconds(3), 1, Optional.empty(), true));
 		}
 		this.planner.add(ticket(0, 1500, Optional.empty()));
 		assertThat(this.planner.next(NOW).orElseThrow().pieces()).hasSize(2).noneMatch(PieceTicket::isolated);
@@ -255,9 +274,9 @@
 			now = next;
 			AttemptId attempt = new AttemptId("attempt-" + requests++);
 			for (int piece = 0; piece < 6; piece++) {
-				planner
-					.add(new PieceTicket(new PieceId(attempt, 0, piece), 0, now.plus(timeToDeadline).minusMillis(400),
-							now.plus(timeToDeadline), 60_000, Optional.empty(), false));
+				planner.add(
+						new PieceTicket(new PieceId(attempt, 0, piece, 1), 0, now.plus(timeToDeadline).minusMillis(400),
+								now.plus(timeToDeadline), 60_000, Optional.empty(), false));
 			}
 			step(planner, running, missed, capacity, now);
 		}
@@ -295,7 +314,7 @@
 	}
 
 	private PieceId id() {
-		return new PieceId(new AttemptId("attempt-" + this.number++), 0, 0);
+		return new PieceId(new AttemptId("attempt-" + this.number++), 0, 0, 1);
 	}
 
 	private record Running(PieceBatch batch, Duration end) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedGroup.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedGroup.java
@@ -28,6 +28,8 @@
 
 	private final PieceGroup group;
 
+	private final long submission;
+
 	private final Duration submittedAt;
 
 	private final Consumer<PieceGroupResult> done;
@@ -40,8 +42,16 @@
 
 	private boolean cancelled;
 
-	OwnedGroup(PieceGroup group, Duration submittedAt, Consumer<PieceGroupResult> done) {
+	/**
+	 * Creates the state of a group of which no piece was sent.
+	 * @param group the group
+	 * @param submission its number, different from those of all other groups of the owner
+	 * @param submittedAt the elapsed time of its submission
+	 * @param done accepts the result once
+	 */
+	OwnedGroup(PieceGroup group, long submission, Duration submittedAt, Consumer<PieceGroupResult> done) {
 		this.group = group;
+		this.submission = submission;
 		this.submittedAt = submittedAt;
 		this.done = done;
 	}
@@ -62,7 +72,7 @@
 	}
 
 	PieceId id(int piece) {
-		return new PieceId(this.group.attempt(), this.group.stage(), piece);
+		return new PieceId(this.group.attempt(), this.group.stage(), piece, this.submission);
 	}
 
 	/**
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
@@ -62,6 +62,8 @@
 
 	private final PieceSuspects suspects;
 
+	private long submissions;
+
 	private Future<?> sweep;
 
 	OwnedPool(EngineContext context, PoolTraffic traffic, PoolShard shard, BatchCapacity capacity) {
@@ -80,7 +82,7 @@
 	}
 
 	Runnable submit(PieceGroup group, Consumer<PieceGroupResult> done) {
-		OwnedGroup owned = new OwnedGroup(group, now(), done);
+		OwnedGroup owned = new OwnedGroup(group, ++this.submissions, now(), done);
 		if (this.suspects.isHarmful(owned)) {
 			done.accept(PieceGroupResult.failed(group, PieceFailure.HARMFUL, expectedWait()));
 			return () -> {
