End a request at once after an error of the program, and give its places back

Callers saw, if this program failed with an error in the middle of a request: no answer at all (an error before the deadline timer was set), or none until the deadline, or later requests refused for good, since an endpoint's slot or connection stayed counted as taken.

Cause: what a call had acquired was given back by the event that ends it; an error between the two left it taken. An error in the handling of a response also reached the connection, which might serve another call by then and broke it.

Change: sending a request never throws and always reports to its listener; the end of a call is reported apart from its connection; a call with pieces that cannot be sent or read ends as failed; a step of a request that fails ends the request, with 503 (INTERNAL_ERROR) if nothing was sent to an endpoint and 502 otherwise; one request's result cannot disturb the other pieces of its batch.

Why it works: whoever counts a place is the one who gives it back, and now also does so when the step between fails.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/CrashWatch.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/CrashWatch.java
@@ -181,7 +181,8 @@
 		}
 		List<Consumer<Boolean>> listeners = List.copyOf(calls.listeners);
 		calls.listeners.clear();
-		listeners.forEach((listener) -> listener.accept(state == State.ENDED));
+		listeners.forEach((listener) -> this.loop.errors()
+			.run("broken call whose endpoint was checked", () -> listener.accept(state == State.ENDED)));
 	}
 
 	private void report(BrokenCalls calls) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
@@ -124,6 +124,28 @@
 	 * Starts processing. The sink may be called before this method returns.
 	 */
 	public void start() {
+		guard("start of a request", this::process);
+	}
+
+	/**
+	 * Runs a step of the request. An error ends the request at once, so that its caller
+	 * gets an answer, and what it holds is given back.
+	 * @param task what the step does, for the log
+	 * @param step the step
+	 */
+	void guard(String task, Runnable step) {
+		if (this.context.errors().run(task, step) || this.ended) {
+			return;
+		}
+		this.mayHaveRun |= this.calls > 0;
+		if (!this.context.errors()
+			.run("end of a failed request",
+					() -> failWithoutAnswer(RejectionCode.INTERNAL_ERROR, "error in this instance"))) {
+			this.sink.abort();
+		}
+	}
+
+	private void process() {
 		Optional<ServingConfiguration> configuration = this.context.state().view().configuration();
 		if (configuration.isEmpty()) {
 			reject(RejectionCode.NOT_READY, "no configuration received yet");
@@ -197,7 +219,8 @@
 		this.planner = new ChainPlanner(this.context, this.route, this.request, this.pool);
 		this.stages = new RequestStages(this.context, this.route, this.request, this.match.priority(),
 				this.receivedAt.plus(this.route.timing().target()), this.deadline, this.planner,
-				this.fingerprint.value(), this::onStagesEnded);
+				this.fingerprint.value(),
+				(failure) -> guard("end of the stages of a request", () -> onStagesEnded(failure)));
 		ChainPlan plan = this.planner.plan();
 		Optional<Duration> retryAfter = this.context.admission().evaluate(plan.expectedFinish(), remainingTime());
 		if (retryAfter.isPresent()) {
@@ -220,7 +243,8 @@
 			.admitted(this.request.attempt(), this.route.name(), configuration.version(), remainingTime(),
 					plan.expectedFinish(), this.request.generation().sharedParts(), this.fingerprint.value());
 		Duration timerDelay = remainingTime().plus(DEADLINE_SLACK);
-		this.deadlineTimer = this.context.loop().schedule("deadline of a request", timerDelay, this::onDeadline);
+		this.deadlineTimer = this.context.loop()
+			.schedule("deadline of a request", timerDelay, () -> guard("deadline of a request", this::onDeadline));
 		this.pool.retryBudget().recordFirstCall(now());
 		this.stages.run(plan);
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
@@ -98,6 +98,8 @@
 
 	private boolean harmless;
 
+	private boolean counted;
+
 	private boolean ended;
 
 	ForwardCall(EngineContext context, Exchange exchange, LiveEndpoint endpoint) {
@@ -117,8 +119,10 @@
 	}
 
 	void send() {
-		this.pendingPrefillTokens = EnginePlacement.uncachedTokens(load(), this.exchange.request().generation());
-		load().onCallStarted(this.pendingPrefillTokens);
+		long uncachedTokens = EnginePlacement.uncachedTokens(load(), this.exchange.request().generation());
+		load().onCallStarted(uncachedTokens);
+		this.pendingPrefillTokens = uncachedTokens;
+		this.counted = true;
 		boolean repeatable = this.exchange.route().repeatable();
 		OutgoingRequest request = OutgoingRequest.of(this.exchange.head().method(), this.exchange.head().uri())
 			.headers(this.context.endpoints()
@@ -132,16 +136,23 @@
 					(response) -> this.context.endpoints().isResponseTo(response, this.exchange.request().attempt()))
 			.build();
 		if (this.exchange.mayTryAnother()) {
-			this.retryTimer = this.context.loop().schedule("retry after a time", retryTimeout(), this::onRetryTimeout);
+			this.retryTimer = this.context.loop()
+				.schedule("retry after a time", retryTimeout(),
+						() -> this.exchange.guard("retry after a time", this::onRetryTimeout));
 		}
 		this.call = this.context.client().send(this.endpoint.destination(), request, this);
 	}
 
 	void cancel() {
-		if (!this.ended && this.call != null) {
-			markEnded();
+		if (this.ended) {
+			return;
+		}
+		markEnded();
+		if (this.call != null) {
 			recordAbandonedCall();
-			this.body.release();
+		}
+		this.body.release();
+		if (this.call != null) {
 			this.call.cancel();
 		}
 	}
@@ -188,9 +199,12 @@
 
 	@Override
 	public void onEnd() {
-		if (this.ended) {
-			return;
+		if (!this.ended) {
+			this.exchange.guard("end of a response", this::processEnd);
 		}
+	}
+
+	private void processEnd() {
 		markEnded();
 		if (this.answer.notRun() || this.answer.status() == MISDIRECTED) {
 			onNotRun();
@@ -218,14 +232,16 @@
 
 	@Override
 	public void onFailure(CallFailure failure, String detail) {
-		if (this.ended) {
-			return;
+		if (!this.ended) {
+			this.exchange.guard("failure of a call", () -> processFailure(failure, failure + ": " + detail));
 		}
+	}
+
+	private void processFailure(CallFailure failure, String outcome) {
 		markEnded();
 		load().recordFailure(now());
 		this.body.release();
 		this.exchange.stream().dropPartialEvent();
-		String outcome = failure + ": " + detail;
 		if (failure.provesNotRun()) {
 			this.exchange.onCallFailed(this, outcome, true);
 			return;
@@ -244,7 +260,7 @@
 		this.context.crashWatch()
 			.onCallBroken(this.exchange.pool(), this.endpoint, suspects, this.startedAt, (endpointEnded) -> {
 				if (waits) {
-					this.exchange.onCallBroken(this, outcome, endpointEnded);
+					this.exchange.guard("broken call", () -> this.exchange.onCallBroken(this, outcome, endpointEnded));
 				}
 			});
 		if (!waits) {
@@ -408,8 +424,10 @@
 		this.ended = true;
 		cancelRetryTimer();
 		this.memory.hold(0);
-		onPrefillEnded();
-		load().onCallEnded();
+		if (this.counted) {
+			onPrefillEnded();
+			load().onCallEnded();
+		}
 	}
 
 	private void onPrefillEnded() {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/RejectionCode.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/RejectionCode.java
@@ -55,6 +55,9 @@
 	/** The request may have crashed several endpoints; known shortly. */
 	REQUEST_SUSPECTED(503, true),
 
+	/** This instance failed before it sent the request to an endpoint. */
+	INTERNAL_ERROR(503, true),
+
 	/** A stage that the request needs failed. */
 	STAGES_FAILED(503, true),
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnection.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnection.java
@@ -121,7 +121,7 @@
 		if (this.exchange != null) {
 			Exchange abandoned = this.exchange;
 			this.exchange = null;
-			abandoned.onCallerDisconnected();
+			this.context.errors().run("end of an abandoned request", abandoned::onCallerDisconnected);
 		}
 		this.queued.forEach(ReferenceCountUtil::release);
 		this.queued.clear();
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientCall.java
@@ -104,7 +104,7 @@
 		if (!this.done) {
 			this.done = true;
 			stopTimer();
-			this.listener.onEnd();
+			notifyOfEnd(this.listener::onEnd);
 		}
 	}
 
@@ -118,7 +118,16 @@
 			this.connection.abort(this);
 		}
 		boolean unsent = failure == CallFailure.TIMED_OUT && !this.sent;
-		this.listener.onFailure(unsent ? CallFailure.NOT_SENT : failure, detail);
+		notifyOfEnd(() -> this.listener.onFailure(unsent ? CallFailure.NOT_SENT : failure, detail));
+	}
+
+	/**
+	 * Notifies the listener. An error of the listener does not reach the connection,
+	 * which may serve another call by then.
+	 * @param notification the notification
+	 */
+	private void notifyOfEnd(Runnable notification) {
+		this.loop.errors().run("end of a call", notification);
 	}
 
 	private void stopTimer() {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientConnection.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientConnection.java
@@ -73,8 +73,9 @@
 		this.call = nextCall;
 		this.skippingResponse = false;
 		this.reusable = false;
+		DefaultFullHttpRequest message = encode(nextCall.request());
 		nextCall.markSent(this);
-		this.requestWrite = this.channel.writeAndFlush(encode(nextCall.request()));
+		this.requestWrite = this.channel.writeAndFlush(message);
 	}
 
 	boolean isOpen() {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/HttpClient.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/HttpClient.java
@@ -66,7 +66,8 @@
 
 	/**
 	 * Sends a request. Must be called on the event loop. The listener may be notified of
-	 * the end before this method returns.
+	 * the end before this method returns. It is notified of any failure, also of an error
+	 * while the request is being sent, so that this method throws no exception.
 	 * @param destination the process to send the request to
 	 * @param request the request; its body is not released
 	 * @param listener is notified of the response or of the failure
@@ -75,16 +76,29 @@
 	public ClientCall send(HttpDestination destination, OutgoingRequest request, ResponseListener listener) {
 		ClientCall call = new ClientCall(request, listener, this.loop);
 		call.startTimer();
-		Optional<ClientConnection> idle = destination.takeIdle(request.maxIdleTime(), this.time.elapsed());
-		if (idle.isPresent()) {
-			idle.get().send(call);
-		}
-		else {
-			connect(destination, call);
-		}
+		failOnError(call, () -> {
+			Optional<ClientConnection> idle = destination.takeIdle(request.maxIdleTime(), this.time.elapsed());
+			if (idle.isPresent()) {
+				idle.get().send(call);
+			}
+			else {
+				connect(destination, call);
+			}
+		});
 		return call;
 	}
 
+	/**
+	 * Runs a step of sending a request; if it throws an error, the call fails.
+	 * @param call the call
+	 * @param step the step
+	 */
+	private void failOnError(ClientCall call, Runnable step) {
+		if (!this.loop.errors().run("sending of a request", step)) {
+			call.fail(call.sent() ? CallFailure.BROKEN : CallFailure.NOT_SENT, "error in this instance");
+		}
+	}
+
 	/**
 	 * Opens a connection without sending anything, to learn whether a process still
 	 * listens, and closes it.
@@ -121,7 +135,7 @@
 			}
 
 		}).connect(destination.address());
-		connectFuture.addListener((ignored) -> onConnected(connectFuture, connection, call));
+		connectFuture.addListener((ignored) -> failOnError(call, () -> onConnected(connectFuture, connection, call)));
 	}
 
 	private static void onConnected(ChannelFuture connectFuture, ClientConnection connection, ClientCall call) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/BatchCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/BatchCall.java
@@ -1,6 +1,7 @@
 package io.wagtailmux.engine.stage;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
@@ -61,6 +62,10 @@
 
 	private Optional<CallFailure> failure = Optional.empty();
 
+	private boolean handedOver;
+
+	private boolean ended;
+
 	BatchCall(EngineContext context, LiveEndpoint endpoint, PieceBatch batch, OutcomeListener listener) {
 		this.context = context;
 		this.endpoint = endpoint;
@@ -78,9 +83,18 @@
 			.onlyIf(() -> this.endpoint.usable(this.context.time().elapsed()))
 			.build();
 		this.sentBytes = request.bodyBytes();
+		this.handedOver = true;
 		this.context.client().send(this.endpoint.destination(), request, this);
 	}
 
+	/**
+	 * Ends the call after an error of this instance while it was being sent, so that its
+	 * endpoint is free again. What comes of a call that was sent nevertheless is ignored.
+	 */
+	void abandon() {
+		onFailure(this.handedOver ? CallFailure.CANCELLED : CallFailure.NOT_SENT, "error in this instance");
+	}
+
 	PieceBatch batch() {
 		return this.batch;
 	}
@@ -122,31 +136,51 @@
 
 	@Override
 	public void onContent(ByteBuf content) {
+		if (this.ended) {
+			return;
+		}
 		this.body.addComponent(true, content.retain());
 	}
 
 	@Override
 	public void onEnd() {
-		BatchOutcome outcome = outcome();
-		List<PieceOutcome> pieceOutcomes = List.of();
-		if (outcome == BatchOutcome.ANSWERED) {
-			try {
-				pieceOutcomes = this.context.endpoints().pieceOutcomes(this.body, this.batch.pieces().size());
-			}
-			catch (ProtocolException ex) {
-				this.context.log().batchFailed(this.batch, ex.getMessage());
-				outcome = BatchOutcome.BROKEN;
-			}
+		if (this.ended) {
+			return;
 		}
-		else {
+		this.ended = true;
+		List<PieceOutcome> pieceOutcomes = new ArrayList<>();
+		BatchOutcome outcome = outcome();
+		if (outcome != BatchOutcome.ANSWERED) {
 			this.context.log().batchFailed(this.batch, "status " + this.answer.status());
 		}
+		else if (!this.context.errors().run("reading of results", () -> pieceOutcomes.addAll(readOutcomes()))
+				|| pieceOutcomes.isEmpty()) {
+			outcome = BatchOutcome.BROKEN;
+		}
 		this.body.release();
 		this.listener.onOutcome(this, outcome, pieceOutcomes);
 	}
 
+	/**
+	 * Reads the outcomes of the pieces from the response.
+	 * @return the outcomes; empty if the response cannot be read
+	 */
+	private List<PieceOutcome> readOutcomes() {
+		try {
+			return this.context.endpoints().pieceOutcomes(this.body, this.batch.pieces().size());
+		}
+		catch (ProtocolException ex) {
+			this.context.log().batchFailed(this.batch, ex.getMessage());
+			return List.of();
+		}
+	}
+
 	@Override
 	public void onFailure(CallFailure reason, String detail) {
+		if (this.ended) {
+			return;
+		}
+		this.ended = true;
 		this.failure = Optional.of(reason);
 		this.body.release();
 		this.context.log().batchFailed(this.batch, reason + ": " + detail);
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
@@ -82,7 +82,8 @@
 	}
 
 	Runnable submit(PieceGroup group, Consumer<PieceGroupResult> done) {
-		OwnedGroup owned = new OwnedGroup(group, ++this.submissions, now(), done);
+		OwnedGroup owned = new OwnedGroup(group, ++this.submissions, now(),
+				(result) -> this.context.errors().run("result of pieces", () -> done.accept(result)));
 		if (this.suspects.isHarmful(owned)) {
 			done.accept(PieceGroupResult.failed(group, PieceFailure.HARMFUL, expectedWait()));
 			return () -> {
@@ -172,7 +173,22 @@
 			.collect(Collectors.toMap((endpoint) -> endpoint.entry().id(), (endpoint) -> endpoint.entry().zone()));
 	}
 
+	/**
+	 * Sends a batch, whose call counts as started. It ends at once if an error prevents
+	 * it from being sent, so that its endpoint is free again.
+	 * @param batch the batch
+	 * @param now the elapsed time
+	 */
 	private void send(PieceBatch batch, Duration now) {
+		LiveEndpoint endpoint = this.traffic.endpoint(batch.endpoint()).orElseThrow();
+		BatchCall call = new BatchCall(this.context, endpoint, batch, this::onBatchEnded);
+		if (!this.context.errors().run("sending of pieces", () -> send(call, now))) {
+			call.abandon();
+		}
+	}
+
+	private void send(BatchCall call, Duration now) {
+		PieceBatch batch = call.batch();
 		List<PieceOrder> orders = new ArrayList<>();
 		for (PieceTicket ticket : batch.pieces()) {
 			OwnedGroup owned = this.groups.get(ticket.id());
@@ -181,12 +197,10 @@
 				scheduleInputRelease(owned);
 			}
 		}
-		LiveEndpoint endpoint = this.traffic.endpoint(batch.endpoint()).orElseThrow();
 		this.traffic.namedLimits().recordDemand(now);
-		this.traffic.namedLimits().recordCall(endpoint);
+		this.traffic.namedLimits().recordCall(call.endpoint());
 		this.suspects.onSent(batch);
 		this.context.log().batch(this.traffic.pool().id(), batch);
-		BatchCall call = new BatchCall(this.context, endpoint, batch, this::onBatchEnded);
 		call.send(orders, this.capacity);
 		this.context.metrics().recordBatch(batch.pieces().size(), call.sentBytes());
 	}
