A limit of zero requests for cold endpoints is a limit

Callers would have seen: endpoints that crash after their start because they get requests at full rate, where the configuration sets their rate while they are cold to zero (rule FAILBACK).

Cause: a rate of zero stood for "no limit". Evidence: ConfigurationCodecTests, the row with 3 s and 0 requests, failed before; the other five rows passed. Change: the limit is optional. A zero is a limit where endpoints are cold for some time after their start; where they never are, it still says that there is none, as the platform writes it for such pools. Why it works: the shared slack of the limit remains, so that a cold endpoint still gets a few requests.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/PoolTraffic.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/PoolTraffic.java
@@ -30,7 +30,6 @@
 import io.wagtailmux.model.EndpointId;
 import io.wagtailmux.model.InstanceId;
 import io.wagtailmux.model.VersionId;
-import io.wagtailmux.model.serving.ColdLimit;
 import io.wagtailmux.model.serving.EngineCapacity;
 import io.wagtailmux.model.serving.RegisteredEndpoint;
 import io.wagtailmux.model.serving.ServingPool;
@@ -417,12 +416,11 @@
 	}
 
 	private boolean coldLimited(LiveEndpoint endpoint, Duration now) {
-		return this.pool.cold().requestsPerSecond() > 0 && endpoint.cold(now);
+		return this.pool.cold().requestsPerSecond().isPresent() && endpoint.cold(now);
 	}
 
 	private double coldRate() {
-		ColdLimit cold = this.pool.cold();
-		return cold.requestsPerSecond() * this.limits.coldFactor() + this.limits.coldSlack();
+		return this.pool.cold().requestsPerSecond().orElseThrow() * this.limits.coldFactor() + this.limits.coldSlack();
 	}
 
 	private int connectionLimit() {
