--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
@@ -24,9 +24,11 @@
 import io.wagtailmux.engine.state.LiveEndpoint;
 import io.wagtailmux.engine.state.PoolTraffic;
 import io.wagtailmux.model.EndpointId;
+import io.wagtailmux.model.PoolId;
 import io.wagtailmux.model.serving.RequestKind;
 import io.wagtailmux.model.serving.Route;
 import io.wagtailmux.model.serving.ServingConfiguration;
+import io.wagtailmux.model.serving.WeightedPool;
 
 /**
  * Processing of one caller's request, from its complete body to the end of its response.
@@ -204,9 +206,11 @@
 		}
 		this.stream = new ResponseStream(this.context, this.sink);
 		int hash = this.request.attempt().value().hashCode();
-		Optional<PoolTraffic> found = this.context.state().pool(this.route.choosePool(hash).pool());
+		Optional<PoolId> chosen = this.route.choosePool(hash).map(WeightedPool::pool);
+		Optional<PoolTraffic> found = chosen.flatMap(this.context.state()::pool);
 		if (found.isEmpty()) {
-			reject(RejectionCode.NO_ENDPOINT, "pool " + this.route.choosePool(hash).pool() + " is unknown");
+			reject(RejectionCode.NO_ENDPOINT, chosen.map((id) -> "pool " + id + " is unknown")
+				.orElse("all weights of route " + this.route.name() + " are zero"));
 			return;
 		}
 		this.pool = found.get();
--- a/wagtailmux-model/src/main/java/io/wagtailmux/model/serving/Route.java
+++ b/wagtailmux-model/src/main/java/io/wagtailmux/model/serving/Route.java
@@ -1,6 +1,7 @@
 package io.wagtailmux.model.serving;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Rule for the requests with a host and a path prefix: the pools that serve them, their
@@ -45,18 +46,22 @@
 	 * Chooses a pool for a request, so that hashes are distributed in proportion to the
 	 * weights of the pools.
 	 * @param hash a hash of the request; equal hashes give the same pool
-	 * @return the pool with its weight; the first pool if all weights are zero
+	 * @return the pool with its weight; empty if all weights are zero, so that no pool is
+	 * to get requests
 	 */
-	public WeightedPool choosePool(int hash) {
+	public Optional<WeightedPool> choosePool(int hash) {
 		int total = this.pools.stream().mapToInt(WeightedPool::weight).sum();
-		int offset = (total > 0) ? Math.floorMod(hash, total) : 0;
+		if (total <= 0) {
+			return Optional.empty();
+		}
+		int offset = Math.floorMod(hash, total);
 		for (WeightedPool pool : this.pools) {
 			offset -= pool.weight();
 			if (offset < 0) {
-				return pool;
+				return Optional.of(pool);
 			}
 		}
-		return this.pools.get(0);
+		return Optional.empty();
 	}
 
 }
