Follow the endpoints of pools that the configuration no longer contains

Callers would have seen: requests in progress, whose pool was taken out of the configuration meanwhile, sent to endpoints that had begun to leave, or whose zone had been evacuated, since then (rules DRAIN, EVAC).

Cause: ServingState.updateView updated the pools that the configuration contains; all others kept the endpoints of the last view that contained them. Evidence: ServingStateTests failed before: the endpoint was a candidate after its entry said that it is draining. Change: all known pools are updated, those without an entry with their last settings. Measured after it: ServingStateTests, StoreChangesTests pass. Why it works: which endpoints are usable is a fact of the registry and of the operator's orders, not of the pool's entry.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/ServingState.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/ServingState.java
@@ -65,8 +65,9 @@
 	}
 
 	/**
-	 * Replaces the view and updates the endpoints of all pools that its configuration
-	 * contains. Other pools stay as they were after the last view that contained them.
+	 * Replaces the view and updates the endpoints of all pools, also of those that its
+	 * configuration no longer contains: requests in progress may still use them, with the
+	 * settings of the last configuration that contained them.
 	 * @param next the newer view
 	 */
 	public void updateView(ServingView next) {
@@ -78,11 +79,10 @@
 			.values()
 			.stream()
 			.collect(Collectors.groupingBy(RegisteredEndpoint::pool));
-		next.configuration()
-			.map(ServingConfiguration::pools)
-			.orElse(Map.of())
-			.forEach((id, pool) -> this.pools.computeIfAbsent(id, (ignored) -> newPool(pool))
-				.update(pool, byPool.getOrDefault(id, List.of()), next, now));
+		Map<PoolId, ServingPool> configured = next.configuration().map(ServingConfiguration::pools).orElse(Map.of());
+		configured.forEach((id, pool) -> this.pools.computeIfAbsent(id, (ignored) -> newPool(pool)));
+		this.pools.forEach((id, traffic) -> traffic.update(configured.getOrDefault(id, traffic.pool()),
+				byPool.getOrDefault(id, List.of()), next, now));
 	}
 
 	/**
