Log and count errors of control tasks

Callers would have seen an instance that no longer follows the store or its peers, without a line in its log.

Cause: all tasks of the control thread run as futures of a scheduled executor, whose errors nobody read. Change: the executor of the control thread records what its tasks throw, in the log and in unexpected_errors.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -49,6 +48,7 @@
 import io.wagtailmux.engine.state.ServingView;
 import io.wagtailmux.engine.state.StopPlan;
 import io.wagtailmux.engine.state.TrialReport;
+import io.wagtailmux.engine.thread.ControlThread;
 import io.wagtailmux.engine.thread.TrafficLoop;
 import io.wagtailmux.engine.thread.UnexpectedErrors;
 import io.wagtailmux.model.ModelException;
@@ -106,8 +106,8 @@
 	private final TrafficLoop traffic = new TrafficLoop(this.trafficGroup.next(),
 			new UnexpectedErrors(this.registry.counter("unexpected_errors")));
 
-	private final ScheduledExecutorService controlThread = Executors
-		.newSingleThreadScheduledExecutor(new DefaultThreadFactory("control"));
+	private final ScheduledExecutorService controlThread = new ControlThread(new DefaultThreadFactory("control"),
+			this.traffic.errors());
 
 	private final EngineContext context;
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/thread/package-info.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/thread/package-info.java
@@ -1,4 +1,5 @@
 /**
- * The traffic thread, and what becomes of errors on it that nothing else handles.
+ * The traffic thread and the control thread, and what becomes of errors on them that
+ * nothing else handles.
  */
 package io.wagtailmux.engine.thread;
