Close the connection of a call whose request cannot be encoded

Callers would have seen fewer connections to an endpoint after each such error of the program: the call failed as not sent, but its connection stayed open without a call, neither idle nor closed, and counted at the endpoint.

Cause: an error of the encoder came after the connection had been taken for the call and before the call knew it, so that the failed call could not close it. Evidence: ResponseErrorTests, aCallWhoseRequestCannotBeEncodedFailsAsNotSentAndItsConnectionIsClosed, failed before (the connection was still open after a second). Change: the sender closes the connection after any error.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientConnection.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientConnection.java
@@ -69,11 +69,16 @@
 		this.channel = context.channel();
 	}
 
+	/**
+	 * Sends the request of a call.
+	 * @param nextCall the call, which is not marked as sent if the request cannot be
+	 * encoded; the connection must be closed then
+	 */
 	void send(ClientCall nextCall) {
+		DefaultFullHttpRequest message = encode(nextCall.request());
 		this.call = nextCall;
 		this.skippingResponse = false;
 		this.reusable = false;
-		DefaultFullHttpRequest message = encode(nextCall.request());
 		nextCall.markSent(this);
 		this.requestWrite = this.channel.writeAndFlush(message);
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/HttpClient.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/HttpClient.java
@@ -76,25 +76,25 @@
 	public ClientCall send(HttpDestination destination, OutgoingRequest request, ResponseListener listener) {
 		ClientCall call = new ClientCall(request, listener, this.loop);
 		call.startTimer();
-		failOnError(call, () -> {
-			Optional<ClientConnection> idle = destination.takeIdle(request.maxIdleTime(), this.time.elapsed());
-			if (idle.isPresent()) {
-				idle.get().send(call);
-			}
-			else {
-				connect(destination, call);
-			}
-		});
+		Optional<ClientConnection> idle = destination.takeIdle(request.maxIdleTime(), this.time.elapsed());
+		if (idle.isPresent()) {
+			send(idle.get(), call);
+		}
+		else if (!this.loop.errors().run("opening of a connection", () -> connect(destination, call))) {
+			call.fail(CallFailure.NOT_SENT, "error in this instance");
+		}
 		return call;
 	}
 
 	/**
-	 * Runs a step of sending a request; if it throws an error, the call fails.
+	 * Sends the request of a call. After an error, the call fails and the connection is
+	 * closed.
+	 * @param connection an open connection without a call
 	 * @param call the call
-	 * @param step the step
 	 */
-	private void failOnError(ClientCall call, Runnable step) {
-		if (!this.loop.errors().run("sending of a request", step)) {
+	private void send(ClientConnection connection, ClientCall call) {
+		if (!this.loop.errors().run("sending of a request", () -> connection.send(call))) {
+			connection.close();
 			call.fail(call.sent() ? CallFailure.BROKEN : CallFailure.NOT_SENT, "error in this instance");
 		}
 	}
@@ -135,10 +135,10 @@
 			}
 
 		}).connect(destination.address());
-		connectFuture.addListener((ignored) -> failOnError(call, () -> onConnected(connectFuture, connection, call)));
+		connectFuture.addListener((ignored) -> onConnected(connectFuture, connection, call));
 	}
 
-	private static void onConnected(ChannelFuture connectFuture, ClientConnection connection, ClientCall call) {
+	private void onConnected(ChannelFuture connectFuture, ClientConnection connection, ClientCall call) {
 		if (call.done()) {
 			connectFuture.channel().close();
 			return;
@@ -152,7 +152,7 @@
 			call.fail(CallFailure.NOT_SENT, "not wanted any more when the connection was open");
 			return;
 		}
-		connection.send(call);
+		send(connection, call);
 	}
 
 }
--- a/wagtailmux-engine/src/test/java/io/wagtailmux/engine/http/ResponseErrorTests.java
+++ b/wagtailmux-engine/src/test/java/io/wagtailmux/engine/http/ResponseErrorTests.java
@@ -2,6 +2,8 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -9,6 +11,7 @@
 import com.codahale.metrics.Counter;
 import com.sun.net.httpserver.HttpServer;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -23,7 +26,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests of errors in the code that handles a response.
+ * Tests of errors of this program while it sends a request or handles its response.
  */
 class ResponseErrorTests {
 
@@ -62,29 +65,71 @@
 	/** Guards against errors on the traffic thread that no log and no metric shows. */
 	@Test
 	void anErrorInTheHandlingOfAResponseIsRecordedAndFailsTheCall() throws Exception {
-		send(new FailingListener(true));
-		assertThat(this.ends.poll(5, TimeUnit.SECONDS)).isEqualTo("BROKEN");
+		send(request(), new Recorder() {
+
+			@Override
+			public void onHead(HttpResponse response) {
+				throw new IllegalStateException("error in the handling of a head");
+			}
+
+		});
+		assertThat(nextEnd()).isEqualTo("BROKEN");
 		assertThat(this.errors.getCount()).isOne();
 	}
 
-	private void send(ResponseListener listener) {
-		OutgoingRequest request = OutgoingRequest.of(HttpMethod.GET, "/x").build();
-		this.loop.execute("test", () -> this.client.send(this.destination, request, listener));
-	}
+	/**
+	 * Guards against an error that breaks another call, to which its connection belongs
+	 * by then.
+	 */
+	@Test
+	void anErrorAtTheEndOfACallDoesNotDisturbTheNextCallOnItsConnection() throws Exception {
+		send(request(), new Recorder() {
 
-	private final class FailingListener implements ResponseListener {
+			@Override
+			public void onEnd() {
+				ResponseErrorTests.this.client.send(ResponseErrorTests.this.destination, request(), new Recorder());
+				throw new IllegalStateException("error at the end of a call");
+			}
 
-		private final boolean atHead;
+		});
+		assertThat(nextEnd()).isEqualTo("end");
+		assertThat(this.errors.getCount()).isOne();
+	}
 
-		FailingListener(boolean atHead) {
-			this.atHead = atHead;
+	/** Guards against connections that stay open without a call after an error. */
+	@Test
+	void aCallWhoseRequestCannotBeEncodedFailsAsNotSentAndItsConnectionIsClosed() throws Exception {
+		ByteBuf released = Unpooled.buffer(1);
+		OutgoingRequest request = OutgoingRequest.of(HttpMethod.POST, "/x").body(released).build();
+		released.release();
+		try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			this.destination = new HttpDestination((InetSocketAddress) silent.getLocalSocketAddress());
+			send(request, new Recorder());
+			assertThat(nextEnd()).isEqualTo("NOT_SENT");
+			try (Socket accepted = silent.accept()) {
+				accepted.setSoTimeout(1000);
+				assertThat(accepted.getInputStream().read()).isEqualTo(-1);
+			}
 		}
+		assertThat(this.errors.getCount()).isOne();
+	}
+
+	private static OutgoingRequest request() {
+		return OutgoingRequest.of(HttpMethod.GET, "/x").build();
+	}
+
+	private void send(OutgoingRequest request, ResponseListener listener) {
+		this.loop.execute("test", () -> this.client.send(this.destination, request, listener));
+	}
+
+	private String nextEnd() throws InterruptedException {
+		return this.ends.poll(1, TimeUnit.SECONDS);
+	}
+
+	private class Recorder implements ResponseListener {
 
 		@Override
 		public void onHead(HttpResponse response) {
-			if (this.atHead) {
-				throw new IllegalStateException("error in the handling of a head");
-			}
 		}
 
 		@Override
