--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/MetricsHandler.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/MetricsHandler.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.prometheus.client.dropwizard.DropwizardExports;
 import io.prometheus.client.exporter.common.TextFormat;
+
 import io.wagtailmux.engine.thread.UnexpectedErrors;
 
 /**
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/ReadinessHandler.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/ReadinessHandler.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+
 import io.wagtailmux.engine.thread.UnexpectedErrors;
 
 /**
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientCall.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
+
 import io.wagtailmux.engine.thread.TrafficLoop;
 
 /**
