Take no response for a call's own whose head was put together from two

An endpoint that sends a part of a second response lets the next call on that connection end as refused and "not run" although it ran, so that it is sent to another endpoint.

Cause: the client keeps bytes that follow a response in the buffer of the connection. A part of a head stays there and is continued by the next response, whose call id is then taken with the status and the execution header of the part. A whole second response is told apart by its call id, but its connection was kept, so that each later call on it got the response to the one before.

Change: an interceptor on each connection looks for a second status line in the head of a response, and compares the call id; in both cases it closes the connection.

Why it works: wherever the first head was cut, the status line of the next one is still inside the joined head, or makes it invalid.

--- a/wagtailmux-daemon/src/main/java/io/wagtailmux/daemon/endpoint/EndpointClient.java
+++ b/wagtailmux-daemon/src/main/java/io/wagtailmux/daemon/endpoint/EndpointClient.java
@@ -62,6 +62,7 @@
 			.connectionPool(new ConnectionPool(MAXIMUM_IDLE_CONNECTIONS, 1, TimeUnit.MINUTES))
 			.addInterceptor(verifier::onCall)
 			.addNetworkInterceptor(verifier::onConnection)
+			.addNetworkInterceptor(new ResponseVerifier()::onConnection)
 			.build();
 	}
 
