Stage calls get a connection of their own, since nothing else says which call an answer is for

Callers saw: a stage endpoint answers a call twice, and requests run with the results of other requests (or of their own other stage) and are answered with success.

Cause: an answer to a stage call has no id; it counted as the answer to whatever call was open on its connection, and the connection was used again within the same read. If both calls had as many pieces, the second answer was taken for the next call's, that one's for the one after it, and so on while the connection was busy.

Change: OutgoingRequest.ownConnection() opens a connection for one request and closes it after the first complete response. BatchCall uses it. An answer too many, at once, late or split, can then only arrive where no other call is ever made. A call takes one new connection instead of one of the pool; none stays open between two calls, so fewer are open at a time.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientConnection.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientConnection.java
@@ -29,8 +29,9 @@
  *
  * <p>
  * The connection is reused only if the response was complete and its length known from
- * the framing, if the request was written completely, and if no response was dropped by
- * the filter of the request. Bytes that arrive between two calls close it.
+ * the framing, if the request was written completely, if no response was dropped by the
+ * filter of the request, and if the request shares its connection. Bytes that arrive
+ * between two calls close it.
  *
  * @author the wagtailmux developers
  */
@@ -159,7 +160,7 @@
 		}
 		boolean framed = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response)
 				|| this.call.request().method().equals(HttpMethod.HEAD);
-		this.reusable = framed && HttpUtil.isKeepAlive(response);
+		this.reusable = framed && HttpUtil.isKeepAlive(response) && !this.call.request().ownConnection();
 		this.idleLimit = KeepAliveHeader.idleLimit(response.headers());
 		this.call.onHead(response);
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/OutgoingRequest.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/OutgoingRequest.java
@@ -38,6 +38,8 @@
 
 	private final boolean streamed;
 
+	private final boolean ownConnection;
+
 	private final BooleanSupplier condition;
 
 	private final int maximumResponseBytes;
@@ -51,6 +53,7 @@
 		this.maxIdleTime = builder.maxIdleTime;
 		this.responseFilter = builder.responseFilter;
 		this.streamed = builder.streamed;
+		this.ownConnection = builder.ownConnection;
 		this.condition = builder.condition;
 		this.maximumResponseBytes = builder.maximumResponseBytes;
 	}
@@ -94,7 +97,7 @@
 	}
 
 	Duration maxIdleTime() {
-		return this.maxIdleTime;
+		return this.ownConnection ? Duration.ZERO : this.maxIdleTime;
 	}
 
 	Predicate<HttpResponse> responseFilter() {
@@ -105,6 +108,10 @@
 		return this.streamed;
 	}
 
+	boolean ownConnection() {
+		return this.ownConnection;
+	}
+
 	boolean stillWanted() {
 		return this.condition.getAsBoolean();
 	}
@@ -141,6 +148,8 @@
 
 		private boolean streamed;
 
+		private boolean ownConnection;
+
 		private BooleanSupplier condition = () -> true;
 
 		private int maximumResponseBytes = DEFAULT_MAXIMUM_RESPONSE_BYTES;
@@ -232,6 +241,18 @@
 			return this;
 		}
 
+		/**
+		 * Declares that nothing in a response says which request it answers, so that its
+		 * connection has to: a new connection is opened for this request and closed after
+		 * the first complete response. A response too many, whenever it arrives, cannot
+		 * be taken for the one to another request.
+		 * @return this builder
+		 */
+		public Builder ownConnection() {
+			this.ownConnection = true;
+			return this;
+		}
+
 		/**
 		 * Sets the size of the largest response body. A response with more is abandoned,
 		 * and the call fails as {@link CallFailure#MALFORMED}.
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/BatchCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/BatchCall.java
@@ -80,6 +80,7 @@
 			.pieces(this.endpoint.entry().id(), orders)
 			.timeout(timeout)
 			.maximumResponseBytes(MAXIMUM_RESPONSE_BYTES)
+			.ownConnection()
 			.onlyIf(() -> this.endpoint.usable(this.context.time().elapsed()))
 			.build();
 		this.sentBytes = request.bodyBytes();
