Each request in progress gets an answer before a stopping instance ends

Cause: every request of the first 2.9 s after the signal was accepted, however long it would wait, and the process ended 0.7 s before the end of the grace period without ending what was still in progress.

Now the stop plan also decides, by time alone, whether an expected answer comes too late: such a request is refused at once, and one that waits for its stages as soon as the stages after those in progress no longer fit. At the end each exchange gets its last answer: 503 with a retry time if no endpoint had it, 502 if one may have run it; a stream that has begun is closed. The process then waits until these are written, at most 0.3 s of the 0.7 s before the forced kill.

--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/admission/ChainPlan.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/admission/ChainPlan.java
@@ -65,6 +65,20 @@
 		return timeAfter(step, ChainStep::work);
 	}
 
+	/**
+	 * Returns when the answer is expected at the earliest, once some stages have ended.
+	 * @param ended the indexes of the stages that have ended
+	 * @return the time from now if all stages that depend on no unfinished stage ended
+	 * now, including the expected waits of the stages after them
+	 */
+	public Duration timeLeft(Set<Integer> ended) {
+		return IntStream.range(0, this.steps.size())
+			.filter((step) -> !ended.contains(step))
+			.mapToObj(this::timeAfter)
+			.max(Duration::compareTo)
+			.orElse(this.answerTime);
+	}
+
 	/**
 	 * Returns whether a stage would end long before another unfinished stage, so that its
 	 * result would only be kept until the other result is available. This assumes that
--- a/wagtailmux-decision/src/test/java/io/wagtailmux/decision/admission/ChainPlanTests.java
+++ b/wagtailmux-decision/src/test/java/io/wagtailmux/decision/admission/ChainPlanTests.java
@@ -39,6 +39,15 @@
 		assertThat(plan.minimumTimeAfter(1)).isEqualTo(ANSWER_TIME);
 	}
 
+	@Test
+	void theTimeLeftIsThatAfterTheUnfinishedStagesWithTheWaitsOfLaterOnes() {
+		ChainPlan plan = new ChainPlan(
+				List.of(step(List.of(), 500, 300), step(List.of(0), 50, 200), step(List.of(0), 900, 250)), ANSWER_TIME);
+		assertThat(plan.timeLeft(Set.of())).isEqualTo(Duration.ofMillis(900 + 250 + 150));
+		assertThat(plan.timeLeft(Set.of(0))).isEqualTo(ANSWER_TIME);
+		assertThat(plan.timeLeft(Set.of(0, 1, 2))).isEqualTo(ANSWER_TIME);
+	}
+
 	@ParameterizedTest(name = "after {0} the first stage is early: {1}")
 	@CsvSource({ "'', true", "'1', true", "'1,2', false", "'1,2,3', false" })
 	void aStageFinishesEarlyUntilALongerParallelChainHasCaughtUp(String ended, boolean early) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
@@ -95,6 +95,9 @@
 	/** Time reserved between the last answer and the forced kill of the process. */
 	private static final Duration FORCED_KILL_MARGIN = Duration.ofMillis(700);
 
+	/** Part of that time in which the last answers are written. */
+	private static final Duration LAST_WRITES_TIME = Duration.ofMillis(300);
+
 	private final EngineSettings settings;
 
 	private final TimeSource time = TimeSource.system();
@@ -129,6 +132,8 @@
 
 	private Duration stopRequestedAt;
 
+	private StopPlan stopPlan;
+
 	private Runnable whenStopped = () -> {
 	};
 
@@ -215,8 +220,9 @@
 			this.whenStopped = whenStopped;
 			this.stopRequestedAt = this.time.elapsed();
 			LOG.atInfo().addKeyValue("busy", this.connections.activeRequests()).log("stopping");
-			this.context.state()
-				.updateStopPlan(new StopPlan(this.stopRequestedAt.plus(NEW_CONNECTIONS_TIME), stopDeadline()));
+			this.stopPlan = new StopPlan(this.stopRequestedAt.plus(NEW_CONNECTIONS_TIME),
+					this.stopRequestedAt.plus(this.settings.grace()).minus(FORCED_KILL_MARGIN));
+			this.context.state().updateStopPlan(this.stopPlan);
 			this.connections.startDraining();
 			this.control.deregister();
 			checkStop();
@@ -358,11 +364,12 @@
 		if (removedFromBalancer) {
 			this.connections.closeIdle();
 		}
-		boolean graceOver = now.compareTo(stopDeadline()) >= 0;
-		if (graceOver || (removedFromBalancer && this.connections.activeRequests() == 0)) {
-			LOG.atInfo().addKeyValue("busy", this.connections.activeRequests()).log("stopped");
+		long busy = this.connections.activeRequests();
+		this.connections.endUnanswerable(this.stopPlan);
+		if (this.stopPlan.isOver(now) || (removedFromBalancer && busy == 0)) {
+			LOG.atInfo().addKeyValue("busy", busy).log("stopped");
 			stopAccepting();
-			this.controlThread.schedule(this.whenStopped, STOP_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+			awaitLastWrites(now.plus(LAST_WRITES_TIME));
 			return;
 		}
 		this.traffic.schedule("check of the shutdown", STOP_CHECK_INTERVAL, this::checkStop);
@@ -376,8 +383,14 @@
 		this.connections.closeIdle();
 	}
 
-	private Duration stopDeadline() {
-		return this.stopRequestedAt.plus(this.settings.grace()).minus(FORCED_KILL_MARGIN);
+	private void awaitLastWrites(Duration until) {
+		this.traffic.schedule("last writes of the shutdown", STOP_CHECK_INTERVAL, () -> {
+			if (this.connections.anyOpen() && this.time.elapsed().compareTo(until) < 0) {
+				awaitLastWrites(until);
+				return;
+			}
+			this.controlThread.execute(this.whenStopped);
+		});
 	}
 
 }
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
@@ -23,6 +23,7 @@
 import io.wagtailmux.engine.port.ResultHandle;
 import io.wagtailmux.engine.state.LiveEndpoint;
 import io.wagtailmux.engine.state.PoolTraffic;
+import io.wagtailmux.engine.state.StopPlan;
 import io.wagtailmux.model.EndpointId;
 import io.wagtailmux.model.PoolId;
 import io.wagtailmux.model.serving.RequestKind;
@@ -181,6 +182,46 @@
 		finish(0, "left", "the caller closed its connection");
 	}
 
+	/**
+	 * Ends the request if this instance stops before it can be answered. A request that
+	 * no endpoint has is refused as soon as that is known, any other one when the answers
+	 * of this instance end. Does nothing if the request has ended.
+	 * @param plan when this instance stops
+	 */
+	public void onStopping(StopPlan plan) {
+		if (!this.ended) {
+			guard("end of a request at the shutdown", () -> endIfStopping(plan));
+		}
+	}
+
+	private void endIfStopping(StopPlan plan) {
+		if (plan.isOver(now())) {
+			this.mayHaveRun |= this.current.isPresent();
+			failWithoutAnswer(RejectionCode.STOPPING, "this instance stops before the answer");
+			return;
+		}
+		if (this.awaitingCall) {
+			rejectedAsStopping(this.stages.timeLeft());
+		}
+	}
+
+	/**
+	 * Ends a request that this instance is not expected to answer before it stops.
+	 * @param expectedFinish the time from now until the answer is expected
+	 * @return whether the request was ended
+	 */
+	private boolean rejectedAsStopping(Duration expectedFinish) {
+		boolean stopping = this.context.state()
+			.stopPlan()
+			.filter((plan) -> plan.endsBefore(now(), expectedFinish))
+			.isPresent();
+		if (stopping) {
+			reject(RejectionCode.STOPPING,
+					"this instance may stop before the answer, expected in " + expectedFinish.toMillis() + " ms");
+		}
+		return stopping;
+	}
+
 	/**
 	 * Pauses or resumes reading from the endpoint when the writability of the caller's
 	 * connection changes.
@@ -232,6 +273,9 @@
 					+ plan.expectedFinish().toMillis() + " ms, milliseconds remaining: " + remainingTime().toMillis());
 			return;
 		}
+		if (rejectedAsStopping(plan.expectedFinish())) {
+			return;
+		}
 		if (rejectedAsUnavailable(plan.expectedFinish())) {
 			return;
 		}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/RequestStages.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/RequestStages.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
@@ -131,6 +132,15 @@
 		this.current.ifPresent(StageRun::release);
 	}
 
+	/**
+	 * Returns when the answer is expected at the earliest.
+	 * @return the time from now, by the present waits of the stages that have not started
+	 */
+	Duration timeLeft() {
+		Set<Integer> ended = this.current.map(StageRun::endedStages).orElse(Set.of());
+		return this.planner.plan().timeLeft(ended);
+	}
+
 	List<ResultHandle> inputs() {
 		return this.current.map(StageRun::inputs).orElse(List.of());
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnection.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnection.java
@@ -37,6 +37,7 @@
 import io.wagtailmux.engine.forward.CallerSink;
 import io.wagtailmux.engine.forward.Exchange;
 import io.wagtailmux.engine.forward.RejectionCode;
+import io.wagtailmux.engine.state.StopPlan;
 import io.wagtailmux.model.serving.CallerLimits;
 
 /**
@@ -152,6 +153,12 @@
 		}
 	}
 
+	void onStopping(StopPlan plan) {
+		if (this.exchange != null) {
+			this.exchange.onStopping(plan);
+		}
+	}
+
 	private void process(HttpObject part) {
 		try {
 			if (part.decoderResult().isFailure()) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnections.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnections.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelHandler;
 
 import io.wagtailmux.engine.EngineContext;
+import io.wagtailmux.engine.state.StopPlan;
 import io.wagtailmux.model.serving.CallerLimits;
 import io.wagtailmux.model.serving.ServingConfiguration;
 
@@ -61,6 +62,23 @@
 		this.draining = true;
 	}
 
+	/**
+	 * Ends the requests that this instance cannot answer before it stops, and at its end
+	 * all of them.
+	 * @param plan when this instance stops
+	 */
+	public void endUnanswerable(StopPlan plan) {
+		List.copyOf(this.open).forEach((connection) -> connection.onStopping(plan));
+	}
+
+	/**
+	 * Returns whether a connection is open.
+	 * @return false once the last answer was written and its connection closed
+	 */
+	public boolean anyOpen() {
+		return !this.open.isEmpty();
+	}
+
 	/**
 	 * Closes the connections without a request in progress.
 	 */
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/StageRun.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/StageRun.java
@@ -164,6 +164,14 @@
 		return this.released;
 	}
 
+	/**
+	 * Returns the stages that have ended.
+	 * @return a copy of their indexes
+	 */
+	public Set<Integer> endedStages() {
+		return Set.copyOf(this.results.keySet());
+	}
+
 	private void startReadyStages() {
 		for (int stage = 0; stage < this.route.stages().size(); stage++) {
 			boolean ready = this.results.keySet().containsAll(this.route.stages().get(stage).dependencies());
--- a/wagtailmux-engine/src/test/java/io/wagtailmux/engine/state/StopPlanTests.java
+++ b/wagtailmux-engine/src/test/java/io/wagtailmux/engine/state/StopPlanTests.java
@@ -21,4 +21,17 @@
 		assertThat(this.plan.refuses(Duration.ofMillis(received), Duration.ofMillis(deadline))).isEqualTo(refused);
 	}
 
+	@ParameterizedTest(name = "at {0} ms, answer expected in {1} ms")
+	@CsvSource({ "100500, 6800, false", "100500, 6801, true", "102999, 4301, false", "102999, 4302, true",
+			"106900, 400, false", "106900, 401, true", "107300, 0, false", "107301, 0, true" })
+	void requestsWhoseAnswerIsExpectedAfterTheEndAreRefusedAtAnyTime(long now, long expected, boolean late) {
+		assertThat(this.plan.endsBefore(Duration.ofMillis(now), Duration.ofMillis(expected))).isEqualTo(late);
+	}
+
+	@ParameterizedTest(name = "at {0} ms")
+	@CsvSource({ "100500, false", "107299, false", "107300, true", "107900, true" })
+	void theLastAnswersAreGivenAtTheEnd(long now, boolean over) {
+		assertThat(this.plan.isOver(Duration.ofMillis(now))).isEqualTo(over);
+	}
+
 }
