Take no response without a length for complete whose connection broke during a write

What callers saw: a success with a part of the endpoint's body, where the endpoint had broken off its answer.

Cause: a response without a length ends with its connection, unless that is reset. A reset that arrives while the request is being written is an error of the write. It closes the connection without a report of the error to the handlers, and the decoder then ends the response as if the endpoint had closed in order. The same holds for an endpoint that closes before it has read the request.

Evidence: an endpoint that reads the head of a request of 64 MiB, sends a head without a length and four bytes, and resets the connection 100 ms later.

Change: such a response is complete only if its request was written completely; otherwise the call is BROKEN, so that the caller gets 502 or, if the request may run twice, another endpoint is tried. A failed write is known before the connection's end is, since pending writes fail first. Responses with status 204 and 304 have no body and do not wait for the end of the connection.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientConnection.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -28,6 +29,11 @@
  * One connection to a destination, with at most one call at a time.
  *
  * <p>
+ * A response without a length ends with the connection. It is complete only if the
+ * request was written before: the end of a connection that breaks during a write looks
+ * like an orderly one.
+ *
+ * <p>
  * The connection is reused only if the response was complete and its length known from
  * the framing, if the request was written completely, if no response was dropped by the
  * filter of the request, and if the request shares its connection. Bytes that arrive
@@ -55,6 +61,8 @@
 
 	private boolean reusable;
 
+	private boolean endsWithConnection;
+
 	private Duration idleSince = Duration.ZERO;
 
 	private Duration idleLimit = KeepAliveHeader.DEFAULT_IDLE_LIMIT;
@@ -158,13 +166,20 @@
 			this.skippedFinalResponse |= response.status().codeClass() != HttpStatusClass.INFORMATIONAL;
 			return;
 		}
-		boolean framed = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response)
-				|| this.call.request().method().equals(HttpMethod.HEAD);
-		this.reusable = framed && HttpUtil.isKeepAlive(response) && !this.call.request().ownConnection();
+		this.endsWithConnection = !isFramed(response);
+		this.reusable = !this.endsWithConnection && HttpUtil.isKeepAlive(response)
+				&& !this.call.request().ownConnection();
 		this.idleLimit = KeepAliveHeader.idleLimit(response.headers());
 		this.call.onHead(response);
 	}
 
+	private boolean isFramed(HttpResponse response) {
+		return HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response)
+				|| this.call.request().method().equals(HttpMethod.HEAD)
+				|| response.status().equals(HttpResponseStatus.NO_CONTENT)
+				|| response.status().equals(HttpResponseStatus.NOT_MODIFIED);
+	}
+
 	private void onContent(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
 		if (this.skippingResponse) {
@@ -175,6 +190,10 @@
 		if (content.content().isReadable()) {
 			current.onContent(content.content());
 		}
+		if (last && this.call == current && this.endsWithConnection && !this.requestWrite.isSuccess()) {
+			failCall(CallFailure.BROKEN, "the connection ended before the request was written");
+			return;
+		}
 		if (last && this.call == current) {
 			this.call = null;
 			keepOrClose();
