An answer that a caller reads slowly is not cut by the close of idle connections

Callers that read a long answer slowly got a part of it and a close, in one of two ways: when the idle timeout passed after the answer had been handed to the connection, and when their instance stopped, 3.5 s after the signal. Cause: a connection counted as without a request as soon as its answer was handed over, before it was written, and closing it drops what is not written.

A connection now has a request until its answer is written. The idle timeout closes it meanwhile only if nothing of the answer was written for that time, so that a caller that reads nothing holds it no longer than before. A stopping instance waits for it, at most until its end.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnection.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnection.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -72,6 +73,10 @@
 
 	private boolean answering;
 
+	private Optional<ChannelFuture> lastAnswer = Optional.empty();
+
+	private long unwrittenBytes;
+
 	private boolean closing;
 
 	private boolean headStarted;
@@ -144,7 +149,7 @@
 	}
 
 	boolean hasRequest() {
-		return this.answering || this.head != null;
+		return this.answering || this.head != null || writing();
 	}
 
 	void closeIfIdle() {
@@ -159,6 +164,37 @@
 		}
 	}
 
+	/**
+	 * Returns whether the last answer is not written completely, although the next
+	 * request may follow.
+	 * @return whether the caller still reads it
+	 */
+	private boolean writing() {
+		return this.lastAnswer.filter((written) -> !written.isDone()).isPresent();
+	}
+
+	/**
+	 * Closes the connection if it was idle; while an answer is being written, only if the
+	 * caller has read nothing of it meanwhile.
+	 */
+	private void onIdle() {
+		long before = this.unwrittenBytes;
+		if (!writing()) {
+			closeIfIdle();
+		}
+		else if (unwritten() == before) {
+			close();
+		}
+		else {
+			waitForRequest();
+		}
+	}
+
+	private long unwritten() {
+		ChannelOutboundBuffer buffer = this.channel.unsafe().outboundBuffer();
+		return (buffer != null) ? buffer.totalPendingWriteBytes() - buffer.currentProgress() : 0;
+	}
+
 	private void process(HttpObject part) {
 		try {
 			if (part.decoderResult().isFailure()) {
@@ -267,6 +303,7 @@
 			return;
 		}
 		this.answering = false;
+		this.lastAnswer = Optional.of(written);
 		waitForRequest();
 		while (!this.answering && !this.closing && !this.queued.isEmpty()) {
 			process(this.queued.poll());
@@ -287,7 +324,8 @@
 
 	private void waitForRequest() {
 		cancelTimers();
-		this.idleTimer = schedule(this.connections.limits().idleTimeout(), this::closeIfIdle);
+		this.unwrittenBytes = unwritten();
+		this.idleTimer = schedule(this.connections.limits().idleTimeout(), this::onIdle);
 	}
 
 	private Future<?> schedule(Duration delay, Runnable action) {
