--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
@@ -238,10 +238,7 @@
 		}
 		this.deadline = this.receivedAt.plus(timeout);
 		this.fingerprint = RequestFingerprint.of(this.match.organisation(), this.head, this.body);
-		if (this.context.state()
-			.stopPlan()
-			.filter((plan) -> plan.refuses(this.receivedAt, this.deadline))
-			.isPresent()) {
+		if (this.context.state().stopPlan().filter((plan) -> plan.refuses(now(), this.deadline)).isPresent()) {
 			reject(RejectionCode.STOPPING, "this instance may stop before the deadline");
 			return;
 		}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnection.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnection.java
@@ -55,6 +55,9 @@
 	 */
 	private static final int MAXIMUM_QUEUED_PARTS = 64;
 
+	/** Assumed delay until a refused request could be served. */
+	private static final Duration ASSUMED_DELAY = Duration.ofMillis(150);
+
 	private final EngineContext context;
 
 	private final CallerConnections connections;
@@ -162,6 +165,9 @@
 		if (this.exchange != null) {
 			this.exchange.onStopping(plan);
 		}
+		else if (this.head != null && plan.isOver(this.context.time().elapsed())) {
+			rejectIncomplete(RejectionCode.STOPPING, "body not received before this instance stops");
+		}
 	}
 
 	/**
@@ -285,7 +291,8 @@
 		dropRequest();
 		this.context.log().notProcessed(code.status(), why);
 		this.closing = true;
-		HttpResponse response = rejection(code, Optional.empty());
+		HttpResponse response = rejection(code,
+				code.retryable() ? Optional.of(this.context.admission().retryAfter(ASSUMED_DELAY)) : Optional.empty());
 		response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		this.channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/StopPlan.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/StopPlan.java
@@ -23,7 +23,7 @@
 
 	/**
 	 * Returns whether a request has to be refused because the end might interrupt it.
-	 * @param received the elapsed time at which the request arrived
+	 * @param received the elapsed time at which the whole request had arrived
 	 * @param deadline the elapsed time at the request's deadline
 	 * @return whether to refuse it, so that the caller retries at another instance
 	 */
