Refuse large requests for now only while no configuration is received

Cause: the limits are assumed until a configuration is received, and a request above an assumed limit was rejected for good. Evidence: UnconfiguredInstanceTests, 2 of 3 failed before: Expecting actual: "HTTP/1.1 413 Request Entity Too Large ..." to start with "HTTP/1.1 503".

Change: without a configuration such a request gets 503 with a time to retry, like any other one. Why it works: only a configured limit can tell the caller that the request is never accepted.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnection.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnection.java
@@ -231,7 +231,8 @@
 			return;
 		}
 		if (HttpUtil.getContentLength(request, 0L) > limits.bodyBytes()) {
-			rejectIncomplete(RejectionCode.BODY_TOO_LARGE, "body above " + limits.bodyBytes() + " bytes");
+			rejectIncomplete(limitExceeded(RejectionCode.BODY_TOO_LARGE),
+					"body above " + limits.bodyBytes() + " bytes");
 			return;
 		}
 		if (HttpUtil.is100ContinueExpected(request)) {
@@ -248,7 +249,7 @@
 		}
 		int limit = this.connections.limits().bodyBytes();
 		if (this.body.readableBytes() > limit) {
-			rejectIncomplete(RejectionCode.BODY_TOO_LARGE, "body above " + limit + " bytes");
+			rejectIncomplete(limitExceeded(RejectionCode.BODY_TOO_LARGE), "body above " + limit + " bytes");
 			return;
 		}
 		if (content instanceof LastHttpContent) {
@@ -274,9 +275,19 @@
 		});
 	}
 
+	/**
+	 * Returns how to reject a request that exceeds a limit. Without a configuration the
+	 * limits are only assumed, so that the caller may retry.
+	 * @param code the reason if the limit is configured
+	 * @return the reason to send
+	 */
+	private RejectionCode limitExceeded(RejectionCode code) {
+		return this.connections.configured() ? code : RejectionCode.NOT_READY;
+	}
+
 	private void rejectMalformed(Throwable cause) {
 		boolean tooLarge = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-		rejectIncomplete(tooLarge ? RejectionCode.HEADERS_TOO_LARGE : RejectionCode.MALFORMED_REQUEST,
+		rejectIncomplete(tooLarge ? limitExceeded(RejectionCode.HEADERS_TOO_LARGE) : RejectionCode.MALFORMED_REQUEST,
 				String.valueOf(cause.getMessage()));
 	}
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnections.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnections.java
@@ -54,6 +54,14 @@
 		return this.context.state().view().configuration().map(ServingConfiguration::limits).orElse(DEFAULT_LIMITS);
 	}
 
+	/**
+	 * Returns whether the limits are those of a configuration.
+	 * @return false until a configuration is received
+	 */
+	boolean configured() {
+		return this.context.state().view().configuration().isPresent();
+	}
+
 	/**
 	 * Starts to close each connection after its current response. New connections are
 	 * still accepted, since the load balancer stops sending them only after a delay.
