Make no response of the parts of two on one connection

What callers saw: a success with the body and the proof of their own answer, where the endpoint had answered with a failure, or the other way round.

Cause: an endpoint's second answer that is cut off within its head makes no message, so the connection counted as unused and got the next request. The decoder kept the part and joined it to the next head: the status line of the one, the attempt id, the proof and the body of the other. A connection was also used again within the read that brought the end of its call, with more bytes behind it, and the codec took from the order of requests whether a response has a body.

Change: the decoder passes on no byte while no call is open; it drops it and the connection is closed, with a log line. The end of a call is reported, and its connection used again, after the read that brought it. A head that holds the status line of another one is malformed, which leaves the outcome unknown. The open call's method decides whether a response has a body.

Why it works: a byte between two calls can only belong to what was answered before. A part that arrives after the next request stands before the whole head of the next answer, whose status line is then inside the joined head.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientConnection.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientConnection.java
@@ -21,6 +21,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 import io.wagtailmux.engine.thread.UnexpectedErrors;
 import io.wagtailmux.model.TimeSource;
@@ -36,13 +38,17 @@
  * <p>
  * The connection is reused only if the response was complete and its length known from
  * the framing, if the request was written completely, if no response was dropped by the
- * filter of the request, and if the request shares its connection. Bytes that arrive
- * between two calls close it.
+ * filter of the request, and if the request shares its connection. The end of a call is
+ * reported, and its connection used again, only after the read that brought the end:
+ * bytes that follow in the same read belong to no call and close the connection, like
+ * those that arrive between two calls.
  *
  * @author the wagtailmux developers
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
 
+	private static final Logger LOG = LoggerFactory.getLogger(ClientConnection.class);
+
 	private final HttpDestination destination;
 
 	private final TimeSource time;
@@ -53,6 +59,9 @@
 
 	private ClientCall call;
 
+	/** The call whose response is complete, until its end is reported. */
+	private ClientCall answered;
+
 	private ChannelFuture requestWrite;
 
 	private boolean skippingResponse;
@@ -113,8 +122,36 @@
 	}
 
 	void abort(ClientCall aborted) {
-		if (this.call == aborted) {
+		if (this.call == aborted || this.answered == aborted) {
 			this.call = null;
+			this.answered = null;
+			close();
+		}
+	}
+
+	boolean awaitsResponse() {
+		return this.call != null;
+	}
+
+	boolean awaitsHeadOnly() {
+		return this.call != null && this.call.request().method().equals(HttpMethod.HEAD);
+	}
+
+	/**
+	 * Closes the connection, or does not use it again, because of bytes that belong to no
+	 * call.
+	 * @param bytes the number of bytes
+	 */
+	void onSurplusBytes(int bytes) {
+		if (isOpen()) {
+			LOG.atInfo()
+				.addKeyValue("destination", this.destination.address())
+				.addKeyValue("bytes", bytes)
+				.addKeyValue("afterResponse", this.answered != null)
+				.log("received bytes that belong to no call");
+		}
+		this.reusable = false;
+		if (this.answered == null) {
 			close();
 		}
 	}
@@ -129,6 +166,11 @@
 		}
 	}
 
+	@Override
+	public void channelReadComplete(ChannelHandlerContext context) {
+		reportEnd();
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		this.errors.recordOnConnection("response to a call", cause);
@@ -152,6 +194,10 @@
 			return;
 		}
 		if (message instanceof HttpResponse response) {
+			if (ResponseHead.isJoined(response)) {
+				failCall(CallFailure.MALFORMED, "the head contains the status line of another one");
+				return;
+			}
 			onHead(response);
 		}
 		if (message instanceof HttpContent content) {
@@ -196,8 +242,16 @@
 		}
 		if (last && this.call == current) {
 			this.call = null;
+			this.answered = current;
+		}
+	}
+
+	private void reportEnd() {
+		ClientCall ended = this.answered;
+		if (ended != null) {
+			this.answered = null;
 			keepOrClose();
-			current.onEnd();
+			ended.onEnd();
 		}
 	}
 
@@ -213,6 +267,7 @@
 	}
 
 	private void failCall(CallFailure failure, String detail) {
+		reportEnd();
 		ClientCall current = this.call;
 		this.call = null;
 		close();
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/HttpClient.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/HttpClient.java
@@ -11,7 +11,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 
 import io.wagtailmux.engine.thread.TrafficLoop;
 import io.wagtailmux.model.TimeSource;
@@ -38,12 +38,6 @@
 	 */
 	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
 
-	private static final int MAX_INITIAL_LINE_BYTES = 8192;
-
-	private static final int MAX_HEADER_BYTES = 65_536;
-
-	private static final int MAX_CHUNK_BYTES = 16_384;
-
 	private final TrafficLoop loop;
 
 	private final TimeSource time;
@@ -130,7 +124,8 @@
 			@Override
 			protected void initChannel(SocketChannel channel) {
 				channel.pipeline()
-					.addLast(new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+					.addLast(new ResponseDecoder(connection))
+					.addLast(new HttpRequestEncoder())
 					.addLast(connection);
 			}
 
--- /dev/null
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ResponseHead.java
@@ -0,0 +1,44 @@
+package io.wagtailmux.engine.http;
+
+import java.util.Map;
+import java.util.regex.Pattern;
+
+import io.netty.handler.codec.http.HttpResponse;
+
+/**
+ * Detects heads that consist of parts of two. After a response that broke off within its
+ * head, the next one on the connection has the status line of the first, while its own
+ * stands where the first broke off.
+ *
+ * @author the wagtailmux developers
+ */
+final class ResponseHead {
+
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+
+	private ResponseHead() {
+	}
+
+	/**
+	 * Returns whether a head contains the status line of another one.
+	 * @param response the head
+	 * @return whether it belongs to no single response
+	 */
+	static boolean isJoined(HttpResponse response) {
+		if (!response.protocolVersion().protocolName().equals("HTTP")
+				|| containsStatusLine(response.status().reasonPhrase())) {
+			return true;
+		}
+		for (Map.Entry<String, String> header : response.headers()) {
+			if (containsStatusLine(header.getKey()) || containsStatusLine(header.getValue())) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private static boolean containsStatusLine(String text) {
+		return STATUS_LINE.matcher(text).find();
+	}
+
+}
