The end of an answer is not lost when its caller has sent more by the close

A caller that sent further bytes on a connection whose answer said that it would be closed lost what it had not read of that answer: bytes that arrive after the close, or that were not read before it, reset the connection. Now only the sending side is closed once the answer is written; the rest is read and dropped until the caller closes, at most for the idle timeout. A stopping instance does not wait for such callers.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnection.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnection.java
@@ -10,10 +10,10 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -82,6 +82,8 @@
 
 	private boolean closing;
 
+	private boolean lingering;
+
 	private boolean headStarted;
 
 	private Future<?> readTimer;
@@ -152,11 +154,11 @@
 	}
 
 	boolean hasRequest() {
-		return this.answering || this.head != null || writing();
+		return !this.lingering && (this.answering || this.head != null || writing());
 	}
 
 	void closeIfIdle() {
-		if (!hasRequest() && this.queued.isEmpty()) {
+		if (!hasRequest() && !this.closing && this.queued.isEmpty()) {
 			close();
 		}
 	}
@@ -180,19 +182,18 @@
 	}
 
 	/**
-	 * Closes the connection if it was idle; while an answer is being written, only if the
-	 * caller has read nothing of it meanwhile.
+	 * Closes the connection, unless a part of the last answer was written since the idle
+	 * timeout began.
 	 */
 	private void onIdle() {
-		long before = this.unwrittenBytes;
-		if (!writing()) {
-			closeIfIdle();
+		if (unwritten() < this.unwrittenBytes) {
+			waitForRequest();
 		}
-		else if (unwritten() == before) {
+		else if (writing()) {
 			close();
 		}
 		else {
-			waitForRequest();
+			closeIfIdle();
 		}
 	}
 
@@ -301,11 +302,30 @@
 		cancelTimers();
 		dropRequest();
 		this.context.log().notProcessed(code.status(), why);
-		this.closing = true;
 		HttpResponse response = rejection(code,
 				code.retryable() ? Optional.of(this.context.admission().retryAfter(ASSUMED_DELAY)) : Optional.empty());
 		response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-		this.channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+		closeOnceWritten(this.channel.writeAndFlush(response));
+	}
+
+	/**
+	 * Closes the connection after its last answer. The caller's side is left open for the
+	 * idle timeout at most: bytes that arrive after a close would reset the connection,
+	 * and the caller would lose what it has not read.
+	 * @param written the end of the writing of the answer
+	 */
+	private void closeOnceWritten(ChannelFuture written) {
+		this.closing = true;
+		written.addListener((done) -> {
+			if (!done.isSuccess() || !(this.channel instanceof DuplexChannel duplex)) {
+				this.channel.close();
+				return;
+			}
+			this.lingering = true;
+			duplex.shutdownOutput();
+			cancelTimers();
+			this.idleTimer = schedule(this.connections.limits().idleTimeout(), this.channel::close);
+		});
 	}
 
 	private HttpResponse rejection(RejectionCode code, Optional<Duration> retryAfter) {
@@ -316,8 +336,7 @@
 	private void finishAnswer(boolean keep, ChannelFuture written) {
 		this.exchange = null;
 		if (!keep || !this.channel.isActive()) {
-			this.closing = true;
-			written.addListener(ChannelFutureListener.CLOSE);
+			closeOnceWritten(written);
 			return;
 		}
 		this.answering = false;
