--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
@@ -132,8 +132,7 @@
 			.streamed()
 			.onlyIf(() -> this.endpoint.usable(now()))
 			.maxIdleTime(repeatable ? MAXIMUM_IDLE_TIME : NON_REPEATABLE_MAXIMUM_IDLE_TIME)
-			.responseFilter(
-					(response) -> this.context.endpoints().isResponseTo(response, this.exchange.request().attempt()))
+			.responseFilter(this::isOwn)
 			.build();
 		if (this.exchange.mayTryAnother()) {
 			this.retryTimer = this.context.loop()
@@ -143,6 +142,22 @@
 		this.call = this.context.client().send(this.endpoint.destination(), request, this);
 	}
 
+	/**
+	 * Returns whether an answer belongs to the request. Logs one that does not say so.
+	 * @param response the head of the answer
+	 * @return whether it is used
+	 */
+	private boolean isOwn(HttpResponse response) {
+		boolean own = this.context.endpoints().isResponseTo(response, this.exchange.request().attempt());
+		List<String> named = this.context.endpoints().namedAttempts(response);
+		if (!own || named.isEmpty()) {
+			this.context.log()
+				.answerNotNamingRequest(this.exchange.request().attempt(), this.endpoint.entry().id(),
+						response.status().code(), named, own);
+		}
+		return own;
+	}
+
 	void cancel() {
 		if (this.ended) {
 			return;
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/port/EndpointProtocol.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/port/EndpointProtocol.java
@@ -42,10 +42,18 @@
 	 * response to an earlier request of the same connection.
 	 * @param response the response
 	 * @param attempt the attempt that was forwarded
-	 * @return false if the response names another attempt; true if it names none
+	 * @return false if the response names another attempt, even beside this one; true if
+	 * it names none
 	 */
 	boolean isResponseTo(HttpResponse response, AttemptId attempt);
 
+	/**
+	 * Returns the ids of the attempts that a response names.
+	 * @param response the response
+	 * @return the ids as they were received; none if it names no attempt
+	 */
+	List<String> namedAttempts(HttpResponse response);
+
 	/**
 	 * Parses the headers of a response.
 	 * @param response the response
