Take only an answer that names the request for its answer

What callers saw: failures that belong to nobody (500, 404 or 304 where the endpoint answered 200), a refusal "not run" of a request that ran (REFUSED), and a request that must not run twice sent to a second endpoint (TWICE).

Cause: an answer without an id counted as the answer to whatever request was open on its connection, with all that it states.

Change: an answer without an id, or with another one, is dropped and logged; its connection is not used after the call.

Why it works: what an answer is taken for is decided by what it says it answers.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/DecisionLog.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/DecisionLog.java
@@ -56,22 +56,19 @@
 	}
 
 	/**
-	 * Logs an answer that does not name the request that is open on its connection, or
-	 * not only that one.
+	 * Logs an answer that is dropped, since it does not name the request that is open on
+	 * its connection, or not only that one.
 	 * @param attempt the open request
 	 * @param endpoint the endpoint
 	 * @param status the HTTP status of the answer
 	 * @param named the ids that the answer names
-	 * @param used whether the answer was used for the open request
 	 */
-	public void answerNotNamingRequest(AttemptId attempt, EndpointId endpoint, int status, List<String> named,
-			boolean used) {
+	public void answerNotNamingRequest(AttemptId attempt, EndpointId endpoint, int status, List<String> named) {
 		LOG.atInfo()
 			.addKeyValue("request", attempt)
 			.addKeyValue("endpoint", endpoint)
 			.addKeyValue("status", status)
 			.addKeyValue("named", named)
-			.addKeyValue("used", used)
 			.log("answer does not name the open request");
 	}
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
@@ -149,11 +149,10 @@
 	 */
 	private boolean isOwn(HttpResponse response) {
 		boolean own = this.context.endpoints().isResponseTo(response, this.exchange.request().attempt());
-		List<String> named = this.context.endpoints().namedAttempts(response);
-		if (!own || named.isEmpty()) {
+		if (!own) {
 			this.context.log()
 				.answerNotNamingRequest(this.exchange.request().attempt(), this.endpoint.entry().id(),
-						response.status().code(), named, own);
+						response.status().code(), this.context.endpoints().namedAttempts(response));
 		}
 		return own;
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/port/EndpointProtocol.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/port/EndpointProtocol.java
@@ -42,8 +42,7 @@
 	 * response to an earlier request of the same connection.
 	 * @param response the response
 	 * @param attempt the attempt that was forwarded
-	 * @return false if the response names another attempt, even beside this one; true if
-	 * it names none
+	 * @return whether the response names this attempt and no other one
 	 */
 	boolean isResponseTo(HttpResponse response, AttemptId attempt);
 
