Look for a second status line in each header, also in confidential ones

What callers saw: nothing was reported. Cause: the check read all headers as one text, in which the library replaces the values of confidential headers, so that a part of a refusal that ends in one of them was still taken for the response to the next call. Change: each name and value is read by itself.

--- a/wagtailmux-daemon/src/main/java/io/wagtailmux/daemon/endpoint/ResponseVerifier.java
+++ b/wagtailmux-daemon/src/main/java/io/wagtailmux/daemon/endpoint/ResponseVerifier.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.net.ProtocolException;
 import java.util.regex.Pattern;
+import java.util.stream.IntStream;
 
+import okhttp3.Headers;
 import okhttp3.Interceptor;
 import okhttp3.Request;
 import okhttp3.Response;
@@ -45,8 +47,13 @@
 	}
 
 	private static boolean containsStatusLine(Response response) {
-		return STATUS_LINE.matcher(response.message()).find()
-				|| STATUS_LINE.matcher(response.headers().toString()).find();
+		Headers headers = response.headers();
+		return containsStatusLine(response.message()) || IntStream.range(0, headers.size())
+			.anyMatch((index) -> containsStatusLine(headers.name(index)) || containsStatusLine(headers.value(index)));
+	}
+
+	private static boolean containsStatusLine(String text) {
+		return STATUS_LINE.matcher(text).find();
 	}
 
 }
--- a/wagtailmux-daemon/src/test/java/io/wagtailmux/daemon/endpoint/SecondResponseTests.java
+++ b/wagtailmux-daemon/src/test/java/io/wagtailmux/daemon/endpoint/SecondResponseTests.java
@@ -8,6 +8,7 @@
 import com.google.gson.JsonObject;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import io.wagtailmux.decision.CallOutcome;
 import io.wagtailmux.model.AvailabilityZoneId;
@@ -71,6 +72,21 @@
 		}
 	}
 
+	// The text of a header that may be confidential is replaced when all are printed.
+	@ParameterizedTest
+	@ValueSource(strings = { "Cookie", "Set-Cookie", "Authorization", "X-Other" })
+	void aPartOfARefusalThatEndsInAnyHeaderIsNotTakenForTheResponse(String header) throws Exception {
+		String part = REFUSAL.substring(0, REFUSAL.indexOf("Content-Length")) + header + ": a";
+		try (RawEndpoint endpoint = new RawEndpoint(
+				part.replace("Wagtailmux-Call-Id: request-1/edit/1\r\n", "X-Nothing: x\r\n"));
+				EndpointClient client = new EndpointClient(TimeSource.system())) {
+			call(client, endpoint, 1);
+			CallResult second = call(client, endpoint, 2);
+			assertThat(second.outcome()).as(second.detail())
+				.isIn(CallOutcome.ANSWERED, CallOutcome.BROKEN, CallOutcome.CROSSED);
+		}
+	}
+
 	private static CallResult call(EndpointClient client, RawEndpoint endpoint, int number) {
 		Endpoint called = new Endpoint(new EndpointId("desk-1"), new PoolId("desk"), new AvailabilityZoneId("perth-a"),
 				new VersionId("v1"), endpoint.address(), new Labels(Map.of()), false);
