Keep a connection open after a stream whose head announced no close

What callers saw: a request sent on a kept connection after a stream that ended during a shutdown was read and dropped without an answer.

Cause: whether the connection stays was decided again at the end of the stream. Change: what the head announced holds; the next request is answered, or refused as one of a stopping instance is.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnection.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnection.java
@@ -309,9 +309,10 @@
 	}
 
 	/**
-	 * Closes the connection after its last answer. The caller's side is left open for the
-	 * idle timeout at most: bytes that arrive after a close would reset the connection,
-	 * and the caller would lose what it has not read.
+	 * Closes the connection after its last answer, or when the caller has read nothing of
+	 * it for the idle timeout. The caller's side is left open for the idle timeout at
+	 * most: bytes that arrive after a close would reset the connection, and the caller
+	 * would lose what it has not read.
 	 * @param written the end of the writing of the answer
 	 */
 	private void closeOnceWritten(ChannelFuture written) {
@@ -415,6 +416,8 @@
 
 		private boolean chunked;
 
+		private boolean keptAfterStream;
+
 		Sink(boolean keepAlive, HttpRequest request) {
 			this.keepAlive = keepAlive;
 			this.request = request;
@@ -434,7 +437,7 @@
 			if (this.chunked) {
 				headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
 			}
-			setConnectionHeader(headers);
+			this.keptAfterStream = setConnectionHeader(headers);
 			channel().write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers));
 		}
 
@@ -445,7 +448,8 @@
 
 		@Override
 		public void end() {
-			finishAnswer(shouldKeepAlive(), channel().writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+			// A close that was not announced would lose a request that follows at once.
+			finishAnswer(this.keptAfterStream, channel().writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
 		}
 
 		@Override
