Close a connection whose caller reads nothing of its last answer

A caller that never read the answer on a connection that was to be closed held the connection and the answer without an end, since no timeout ran until the answer was written. Change: the idle timeout runs from the start of the writing, as on other connections; it closes only if nothing was written meanwhile. Measured: both tests of the class pass, and SlowReaderTests, StopTests, StreamTests and BadCallerTests beside it.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnection.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/front/CallerConnection.java
@@ -317,6 +317,8 @@
 	 */
 	private void closeOnceWritten(ChannelFuture written) {
 		this.closing = true;
+		this.lastAnswer = Optional.of(written);
+		waitForRequest();
 		written.addListener((done) -> {
 			if (!done.isSuccess() || !(this.channel instanceof DuplexChannel duplex)) {
 				this.channel.close();
