--- a/wagtailmux-engine/src/test/java/io/wagtailmux/engine/http/OwnConnectionTests.java
+++ b/wagtailmux-engine/src/test/java/io/wagtailmux/engine/http/OwnConnectionTests.java
@@ -64,7 +64,7 @@
 	void theSecondAnswerToARequestIsNotTakenForTheOneToTheNextRequest() throws Exception {
 		CompletableFuture<String> next = new CompletableFuture<>();
 		CompletableFuture<String> first = new CompletableFuture<>();
-		send(first, () -> send(next, () -> {
+		send(first, () -> sendOnLoop(next, () -> {
 		}));
 		try (Socket connection = this.server.accept()) {
 			readHead(connection);
@@ -82,9 +82,10 @@
 	void aConnectionThatAnotherRequestLeftIsNotUsed() throws Exception {
 		CompletableFuture<String> shared = new CompletableFuture<>();
 		CompletableFuture<String> own = new CompletableFuture<>();
-		this.loop.execute(() -> this.client.send(this.destination,
-				OutgoingRequest.of(HttpMethod.GET, "/shared").build(), new Listener(shared, () -> send(own, () -> {
-				}))));
+		this.loop
+			.execute(() -> this.client.send(this.destination, OutgoingRequest.of(HttpMethod.GET, "/shared").build(),
+					new Listener(shared, () -> sendOnLoop(own, () -> {
+					}))));
 		try (Socket connection = this.server.accept()) {
 			readHead(connection);
 			write(connection, answer("shared"));
@@ -110,8 +111,12 @@
 	}
 
 	private void send(CompletableFuture<String> body, Runnable atEnd) {
+		this.loop.execute(() -> sendOnLoop(body, atEnd));
+	}
+
+	private void sendOnLoop(CompletableFuture<String> body, Runnable atEnd) {
 		OutgoingRequest request = OutgoingRequest.of(HttpMethod.GET, "/own").ownConnection().build();
-		this.loop.execute(() -> this.client.send(this.destination, request, new Listener(body, atEnd)));
+		this.client.send(this.destination, request, new Listener(body, atEnd));
 	}
 
 	private static void readHead(Socket connection) throws IOException {
