--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/KnownRowMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/KnownRowMessage.java
@@ -759,14 +759,14 @@
           case 3: // EARLIER
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list138 = iprot.readListBegin();
-                struct.earlier = new java.util.ArrayList<RowContentMessage>(_list138.size);
-                @org.apache.thrift.annotation.Nullable RowContentMessage _elem139;
-                for (int _i140 = 0; _i140 < _list138.size; ++_i140)
+                org.apache.thrift.protocol.TList _list156 = iprot.readListBegin();
+                struct.earlier = new java.util.ArrayList<RowContentMessage>(_list156.size);
+                @org.apache.thrift.annotation.Nullable RowContentMessage _elem157;
+                for (int _i158 = 0; _i158 < _list156.size; ++_i158)
                 {
-                  _elem139 = new RowContentMessage();
-                  _elem139.read(iprot);
-                  struct.earlier.add(_elem139);
+                  _elem157 = new RowContentMessage();
+                  _elem157.read(iprot);
+                  struct.earlier.add(_elem157);
                 }
                 iprot.readListEnd();
               }
@@ -840,9 +840,9 @@
         oprot.writeFieldBegin(EARLIER_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.earlier.size()));
-          for (RowContentMessage _iter141 : struct.earlier)
+          for (RowContentMessage _iter159 : struct.earlier)
           {
-            _iter141.write(oprot);
+            _iter159.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -878,9 +878,9 @@
       oprot.writeString(struct.key);
       {
         oprot.writeI32(struct.earlier.size());
-        for (RowContentMessage _iter142 : struct.earlier)
+        for (RowContentMessage _iter160 : struct.earlier)
         {
-          _iter142.write(oprot);
+          _iter160.write(oprot);
         }
       }
       oprot.writeI64(struct.number);
@@ -902,14 +902,14 @@
       struct.key = iprot.readString();
       struct.setKeyIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list143 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.earlier = new java.util.ArrayList<RowContentMessage>(_list143.size);
-        @org.apache.thrift.annotation.Nullable RowContentMessage _elem144;
-        for (int _i145 = 0; _i145 < _list143.size; ++_i145)
+        org.apache.thrift.protocol.TList _list161 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.earlier = new java.util.ArrayList<RowContentMessage>(_list161.size);
+        @org.apache.thrift.annotation.Nullable RowContentMessage _elem162;
+        for (int _i163 = 0; _i163 < _list161.size; ++_i163)
         {
-          _elem144 = new RowContentMessage();
-          _elem144.read(iprot);
-          struct.earlier.add(_elem144);
+          _elem162 = new RowContentMessage();
+          _elem162.read(iprot);
+          struct.earlier.add(_elem162);
         }
       }
       struct.setEarlierIsSet(true);
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/KnownTableMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/KnownTableMessage.java
@@ -520,14 +520,14 @@
           case 3: // ROWS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list146 = iprot.readListBegin();
-                struct.rows = new java.util.ArrayList<KnownRowMessage>(_list146.size);
-                @org.apache.thrift.annotation.Nullable KnownRowMessage _elem147;
-                for (int _i148 = 0; _i148 < _list146.size; ++_i148)
+                org.apache.thrift.protocol.TList _list164 = iprot.readListBegin();
+                struct.rows = new java.util.ArrayList<KnownRowMessage>(_list164.size);
+                @org.apache.thrift.annotation.Nullable KnownRowMessage _elem165;
+                for (int _i166 = 0; _i166 < _list164.size; ++_i166)
                 {
-                  _elem147 = new KnownRowMessage();
-                  _elem147.read(iprot);
-                  struct.rows.add(_elem147);
+                  _elem165 = new KnownRowMessage();
+                  _elem165.read(iprot);
+                  struct.rows.add(_elem165);
                 }
                 iprot.readListEnd();
               }
@@ -567,9 +567,9 @@
         oprot.writeFieldBegin(ROWS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.rows.size()));
-          for (KnownRowMessage _iter149 : struct.rows)
+          for (KnownRowMessage _iter167 : struct.rows)
           {
-            _iter149.write(oprot);
+            _iter167.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -597,9 +597,9 @@
       oprot.writeI64(struct.era);
       {
         oprot.writeI32(struct.rows.size());
-        for (KnownRowMessage _iter150 : struct.rows)
+        for (KnownRowMessage _iter168 : struct.rows)
         {
-          _iter150.write(oprot);
+          _iter168.write(oprot);
         }
       }
     }
@@ -612,14 +612,14 @@
       struct.era = iprot.readI64();
       struct.setEraIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list151 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.rows = new java.util.ArrayList<KnownRowMessage>(_list151.size);
-        @org.apache.thrift.annotation.Nullable KnownRowMessage _elem152;
-        for (int _i153 = 0; _i153 < _list151.size; ++_i153)
+        org.apache.thrift.protocol.TList _list169 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.rows = new java.util.ArrayList<KnownRowMessage>(_list169.size);
+        @org.apache.thrift.annotation.Nullable KnownRowMessage _elem170;
+        for (int _i171 = 0; _i171 < _list169.size; ++_i171)
         {
-          _elem152 = new KnownRowMessage();
-          _elem152.read(iprot);
-          struct.rows.add(_elem152);
+          _elem170 = new KnownRowMessage();
+          _elem170.read(iprot);
+          struct.rows.add(_elem170);
         }
       }
       struct.setRowsIsSet(true);
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/KnownTablesMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/KnownTablesMessage.java
@@ -339,14 +339,14 @@
           case 1: // TABLES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list154 = iprot.readListBegin();
-                struct.tables = new java.util.ArrayList<KnownTableMessage>(_list154.size);
-                @org.apache.thrift.annotation.Nullable KnownTableMessage _elem155;
-                for (int _i156 = 0; _i156 < _list154.size; ++_i156)
+                org.apache.thrift.protocol.TList _list172 = iprot.readListBegin();
+                struct.tables = new java.util.ArrayList<KnownTableMessage>(_list172.size);
+                @org.apache.thrift.annotation.Nullable KnownTableMessage _elem173;
+                for (int _i174 = 0; _i174 < _list172.size; ++_i174)
                 {
-                  _elem155 = new KnownTableMessage();
-                  _elem155.read(iprot);
-                  struct.tables.add(_elem155);
+                  _elem173 = new KnownTableMessage();
+                  _elem173.read(iprot);
+                  struct.tables.add(_elem173);
                 }
                 iprot.readListEnd();
               }
@@ -375,9 +375,9 @@
         oprot.writeFieldBegin(TABLES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.tables.size()));
-          for (KnownTableMessage _iter157 : struct.tables)
+          for (KnownTableMessage _iter175 : struct.tables)
           {
-            _iter157.write(oprot);
+            _iter175.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -403,9 +403,9 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
         oprot.writeI32(struct.tables.size());
-        for (KnownTableMessage _iter158 : struct.tables)
+        for (KnownTableMessage _iter176 : struct.tables)
         {
-          _iter158.write(oprot);
+          _iter176.write(oprot);
         }
       }
     }
@@ -414,14 +414,14 @@
     public void read(org.apache.thrift.protocol.TProtocol prot, KnownTablesMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        org.apache.thrift.protocol.TList _list159 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.tables = new java.util.ArrayList<KnownTableMessage>(_list159.size);
-        @org.apache.thrift.annotation.Nullable KnownTableMessage _elem160;
-        for (int _i161 = 0; _i161 < _list159.size; ++_i161)
+        org.apache.thrift.protocol.TList _list177 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.tables = new java.util.ArrayList<KnownTableMessage>(_list177.size);
+        @org.apache.thrift.annotation.Nullable KnownTableMessage _elem178;
+        for (int _i179 = 0; _i179 < _list177.size; ++_i179)
         {
-          _elem160 = new KnownTableMessage();
-          _elem160.read(iprot);
-          struct.tables.add(_elem160);
+          _elem178 = new KnownTableMessage();
+          _elem178.read(iprot);
+          struct.tables.add(_elem178);
         }
       }
       struct.setTablesIsSet(true);
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/PingMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/PingMessage.java
@@ -16,6 +16,8 @@
   private static final org.apache.thrift.protocol.TField TRIALS_FIELD_DESC = new org.apache.thrift.protocol.TField("trials", org.apache.thrift.protocol.TType.LIST, (short)4);
   private static final org.apache.thrift.protocol.TField POISON_FIELD_DESC = new org.apache.thrift.protocol.TField("poison", org.apache.thrift.protocol.TType.LIST, (short)5);
   private static final org.apache.thrift.protocol.TField LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("limits", org.apache.thrift.protocol.TType.LIST, (short)6);
+  private static final org.apache.thrift.protocol.TField DUTY_TOKEN_FIELD_DESC = new org.apache.thrift.protocol.TField("dutyToken", org.apache.thrift.protocol.TType.I64, (short)7);
+  private static final org.apache.thrift.protocol.TField WALL_LESS_STORE_MILLISECONDS_FIELD_DESC = new org.apache.thrift.protocol.TField("wallLessStoreMilliseconds", org.apache.thrift.protocol.TType.I64, (short)8);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PingMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PingMessageTupleSchemeFactory();
@@ -26,6 +28,8 @@
   public @org.apache.thrift.annotation.Nullable java.util.List<TrialReportMessage> trials; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<PoisonEvidenceMessage> poison; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<PoolLimitsMessage> limits; // optional
+  public long dutyToken; // optional
+  public long wallLessStoreMilliseconds; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +38,9 @@
     LEAVING((short)3, "leaving"),
     TRIALS((short)4, "trials"),
     POISON((short)5, "poison"),
-    LIMITS((short)6, "limits");
+    LIMITS((short)6, "limits"),
+    DUTY_TOKEN((short)7, "dutyToken"),
+    WALL_LESS_STORE_MILLISECONDS((short)8, "wallLessStoreMilliseconds");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -62,6 +68,10 @@
           return POISON;
         case 6: // LIMITS
           return LIMITS;
+        case 7: // DUTY_TOKEN
+          return DUTY_TOKEN;
+        case 8: // WALL_LESS_STORE_MILLISECONDS
+          return WALL_LESS_STORE_MILLISECONDS;
         default:
           return null;
       }
@@ -107,8 +117,10 @@
   // isset id assignments
   private static final int __CONFIGURATIONVERSION_ISSET_ID = 0;
   private static final int __LEAVING_ISSET_ID = 1;
+  private static final int __DUTYTOKEN_ISSET_ID = 2;
+  private static final int __WALLLESSSTOREMILLISECONDS_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.TRIALS,_Fields.POISON,_Fields.LIMITS};
+  private static final _Fields optionals[] = {_Fields.TRIALS,_Fields.POISON,_Fields.LIMITS,_Fields.DUTY_TOKEN,_Fields.WALL_LESS_STORE_MILLISECONDS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -127,6 +139,10 @@
     tmpMap.put(_Fields.LIMITS, new org.apache.thrift.meta_data.FieldMetaData("limits", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PoolLimitsMessage.class))));
+    tmpMap.put(_Fields.DUTY_TOKEN, new org.apache.thrift.meta_data.FieldMetaData("dutyToken", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.WALL_LESS_STORE_MILLISECONDS, new org.apache.thrift.meta_data.FieldMetaData("wallLessStoreMilliseconds", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PingMessage.class, metaDataMap);
   }
@@ -178,6 +194,8 @@
       }
       this.limits = __this__limits;
     }
+    this.dutyToken = other.dutyToken;
+    this.wallLessStoreMilliseconds = other.wallLessStoreMilliseconds;
   }
 
   @Override
@@ -195,6 +213,10 @@
     this.trials = null;
     this.poison = null;
     this.limits = null;
+    setDutyTokenIsSet(false);
+    this.dutyToken = 0;
+    setWallLessStoreMillisecondsIsSet(false);
+    this.wallLessStoreMilliseconds = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -391,6 +413,52 @@
     }
   }
 
+  public long getDutyToken() {
+    return this.dutyToken;
+  }
+
+  public PingMessage setDutyToken(long dutyToken) {
+    this.dutyToken = dutyToken;
+    setDutyTokenIsSet(true);
+    return this;
+  }
+
+  public void unsetDutyToken() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __DUTYTOKEN_ISSET_ID);
+  }
+
+  /** Returns true if field dutyToken is set (has been assigned a value) and false otherwise */
+  public boolean isSetDutyToken() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __DUTYTOKEN_ISSET_ID);
+  }
+
+  public void setDutyTokenIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __DUTYTOKEN_ISSET_ID, value);
+  }
+
+  public long getWallLessStoreMilliseconds() {
+    return this.wallLessStoreMilliseconds;
+  }
+
+  public PingMessage setWallLessStoreMilliseconds(long wallLessStoreMilliseconds) {
+    this.wallLessStoreMilliseconds = wallLessStoreMilliseconds;
+    setWallLessStoreMillisecondsIsSet(true);
+    return this;
+  }
+
+  public void unsetWallLessStoreMilliseconds() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __WALLLESSSTOREMILLISECONDS_ISSET_ID);
+  }
+
+  /** Returns true if field wallLessStoreMilliseconds is set (has been assigned a value) and false otherwise */
+  public boolean isSetWallLessStoreMilliseconds() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __WALLLESSSTOREMILLISECONDS_ISSET_ID);
+  }
+
+  public void setWallLessStoreMillisecondsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WALLLESSSTOREMILLISECONDS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -442,6 +510,22 @@
       }
       break;
 
+    case DUTY_TOKEN:
+      if (value == null) {
+        unsetDutyToken();
+      } else {
+        setDutyToken((java.lang.Long)value);
+      }
+      break;
+
+    case WALL_LESS_STORE_MILLISECONDS:
+      if (value == null) {
+        unsetWallLessStoreMilliseconds();
+      } else {
+        setWallLessStoreMilliseconds((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -467,6 +551,12 @@
     case LIMITS:
       return getLimits();
 
+    case DUTY_TOKEN:
+      return getDutyToken();
+
+    case WALL_LESS_STORE_MILLISECONDS:
+      return getWallLessStoreMilliseconds();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -491,6 +581,10 @@
       return isSetPoison();
     case LIMITS:
       return isSetLimits();
+    case DUTY_TOKEN:
+      return isSetDutyToken();
+    case WALL_LESS_STORE_MILLISECONDS:
+      return isSetWallLessStoreMilliseconds();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -562,6 +656,24 @@
         return false;
     }
 
+    boolean this_present_dutyToken = true && this.isSetDutyToken();
+    boolean that_present_dutyToken = true && that.isSetDutyToken();
+    if (this_present_dutyToken || that_present_dutyToken) {
+      if (!(this_present_dutyToken && that_present_dutyToken))
+        return false;
+      if (this.dutyToken != that.dutyToken)
+        return false;
+    }
+
+    boolean this_present_wallLessStoreMilliseconds = true && this.isSetWallLessStoreMilliseconds();
+    boolean that_present_wallLessStoreMilliseconds = true && that.isSetWallLessStoreMilliseconds();
+    if (this_present_wallLessStoreMilliseconds || that_present_wallLessStoreMilliseconds) {
+      if (!(this_present_wallLessStoreMilliseconds && that_present_wallLessStoreMilliseconds))
+        return false;
+      if (this.wallLessStoreMilliseconds != that.wallLessStoreMilliseconds)
+        return false;
+    }
+
     return true;
   }
 
@@ -589,6 +701,14 @@
     if (isSetLimits())
       hashCode = hashCode * 8191 + limits.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetDutyToken()) ? 131071 : 524287);
+    if (isSetDutyToken())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(dutyToken);
+
+    hashCode = hashCode * 8191 + ((isSetWallLessStoreMilliseconds()) ? 131071 : 524287);
+    if (isSetWallLessStoreMilliseconds())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(wallLessStoreMilliseconds);
+
     return hashCode;
   }
 
@@ -660,6 +780,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetDutyToken(), other.isSetDutyToken());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetDutyToken()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.dutyToken, other.dutyToken);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetWallLessStoreMilliseconds(), other.isSetWallLessStoreMilliseconds());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetWallLessStoreMilliseconds()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.wallLessStoreMilliseconds, other.wallLessStoreMilliseconds);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -729,6 +869,18 @@
       }
       first = false;
     }
+    if (isSetDutyToken()) {
+      if (!first) sb.append(", ");
+      sb.append("dutyToken:");
+      sb.append(this.dutyToken);
+      first = false;
+    }
+    if (isSetWallLessStoreMilliseconds()) {
+      if (!first) sb.append(", ");
+      sb.append("wallLessStoreMilliseconds:");
+      sb.append(this.wallLessStoreMilliseconds);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -812,14 +964,14 @@
           case 4: // TRIALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list106 = iprot.readListBegin();
-                struct.trials = new java.util.ArrayList<TrialReportMessage>(_list106.size);
-                @org.apache.thrift.annotation.Nullable TrialReportMessage _elem107;
-                for (int _i108 = 0; _i108 < _list106.size; ++_i108)
+                org.apache.thrift.protocol.TList _list124 = iprot.readListBegin();
+                struct.trials = new java.util.ArrayList<TrialReportMessage>(_list124.size);
+                @org.apache.thrift.annotation.Nullable TrialReportMessage _elem125;
+                for (int _i126 = 0; _i126 < _list124.size; ++_i126)
                 {
-                  _elem107 = new TrialReportMessage();
-                  _elem107.read(iprot);
-                  struct.trials.add(_elem107);
+                  _elem125 = new TrialReportMessage();
+                  _elem125.read(iprot);
+                  struct.trials.add(_elem125);
                 }
                 iprot.readListEnd();
               }
@@ -831,14 +983,14 @@
           case 5: // POISON
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list109 = iprot.readListBegin();
-                struct.poison = new java.util.ArrayList<PoisonEvidenceMessage>(_list109.size);
-                @org.apache.thrift.annotation.Nullable PoisonEvidenceMessage _elem110;
-                for (int _i111 = 0; _i111 < _list109.size; ++_i111)
+                org.apache.thrift.protocol.TList _list127 = iprot.readListBegin();
+                struct.poison = new java.util.ArrayList<PoisonEvidenceMessage>(_list127.size);
+                @org.apache.thrift.annotation.Nullable PoisonEvidenceMessage _elem128;
+                for (int _i129 = 0; _i129 < _list127.size; ++_i129)
                 {
-                  _elem110 = new PoisonEvidenceMessage();
-                  _elem110.read(iprot);
-                  struct.poison.add(_elem110);
+                  _elem128 = new PoisonEvidenceMessage();
+                  _elem128.read(iprot);
+                  struct.poison.add(_elem128);
                 }
                 iprot.readListEnd();
               }
@@ -850,14 +1002,14 @@
           case 6: // LIMITS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list112 = iprot.readListBegin();
-                struct.limits = new java.util.ArrayList<PoolLimitsMessage>(_list112.size);
-                @org.apache.thrift.annotation.Nullable PoolLimitsMessage _elem113;
-                for (int _i114 = 0; _i114 < _list112.size; ++_i114)
+                org.apache.thrift.protocol.TList _list130 = iprot.readListBegin();
+                struct.limits = new java.util.ArrayList<PoolLimitsMessage>(_list130.size);
+                @org.apache.thrift.annotation.Nullable PoolLimitsMessage _elem131;
+                for (int _i132 = 0; _i132 < _list130.size; ++_i132)
                 {
-                  _elem113 = new PoolLimitsMessage();
-                  _elem113.read(iprot);
-                  struct.limits.add(_elem113);
+                  _elem131 = new PoolLimitsMessage();
+                  _elem131.read(iprot);
+                  struct.limits.add(_elem131);
                 }
                 iprot.readListEnd();
               }
@@ -866,6 +1018,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 7: // DUTY_TOKEN
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.dutyToken = iprot.readI64();
+              struct.setDutyTokenIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 8: // WALL_LESS_STORE_MILLISECONDS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.wallLessStoreMilliseconds = iprot.readI64();
+              struct.setWallLessStoreMillisecondsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -904,9 +1072,9 @@
           oprot.writeFieldBegin(TRIALS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.trials.size()));
-            for (TrialReportMessage _iter115 : struct.trials)
+            for (TrialReportMessage _iter133 : struct.trials)
             {
-              _iter115.write(oprot);
+              _iter133.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -918,9 +1086,9 @@
           oprot.writeFieldBegin(POISON_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.poison.size()));
-            for (PoisonEvidenceMessage _iter116 : struct.poison)
+            for (PoisonEvidenceMessage _iter134 : struct.poison)
             {
-              _iter116.write(oprot);
+              _iter134.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -932,15 +1100,25 @@
           oprot.writeFieldBegin(LIMITS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.limits.size()));
-            for (PoolLimitsMessage _iter117 : struct.limits)
+            for (PoolLimitsMessage _iter135 : struct.limits)
             {
-              _iter117.write(oprot);
+              _iter135.write(oprot);
             }
             oprot.writeListEnd();
           }
           oprot.writeFieldEnd();
         }
       }
+      if (struct.isSetDutyToken()) {
+        oprot.writeFieldBegin(DUTY_TOKEN_FIELD_DESC);
+        oprot.writeI64(struct.dutyToken);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetWallLessStoreMilliseconds()) {
+        oprot.writeFieldBegin(WALL_LESS_STORE_MILLISECONDS_FIELD_DESC);
+        oprot.writeI64(struct.wallLessStoreMilliseconds);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -972,34 +1150,46 @@
       if (struct.isSetLimits()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetDutyToken()) {
+        optionals.set(3);
+      }
+      if (struct.isSetWallLessStoreMilliseconds()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetTrials()) {
         {
           oprot.writeI32(struct.trials.size());
-          for (TrialReportMessage _iter118 : struct.trials)
+          for (TrialReportMessage _iter136 : struct.trials)
           {
-            _iter118.write(oprot);
+            _iter136.write(oprot);
           }
         }
       }
       if (struct.isSetPoison()) {
         {
           oprot.writeI32(struct.poison.size());
-          for (PoisonEvidenceMessage _iter119 : struct.poison)
+          for (PoisonEvidenceMessage _iter137 : struct.poison)
           {
-            _iter119.write(oprot);
+            _iter137.write(oprot);
           }
         }
       }
       if (struct.isSetLimits()) {
         {
           oprot.writeI32(struct.limits.size());
-          for (PoolLimitsMessage _iter120 : struct.limits)
+          for (PoolLimitsMessage _iter138 : struct.limits)
           {
-            _iter120.write(oprot);
+            _iter138.write(oprot);
           }
         }
       }
+      if (struct.isSetDutyToken()) {
+        oprot.writeI64(struct.dutyToken);
+      }
+      if (struct.isSetWallLessStoreMilliseconds()) {
+        oprot.writeI64(struct.wallLessStoreMilliseconds);
+      }
     }
 
     @Override
@@ -1012,49 +1202,57 @@
       struct.setConfigurationVersionIsSet(true);
       struct.leaving = iprot.readBool();
       struct.setLeavingIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list121 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.trials = new java.util.ArrayList<TrialReportMessage>(_list121.size);
-          @org.apache.thrift.annotation.Nullable TrialReportMessage _elem122;
-          for (int _i123 = 0; _i123 < _list121.size; ++_i123)
+          org.apache.thrift.protocol.TList _list139 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.trials = new java.util.ArrayList<TrialReportMessage>(_list139.size);
+          @org.apache.thrift.annotation.Nullable TrialReportMessage _elem140;
+          for (int _i141 = 0; _i141 < _list139.size; ++_i141)
           {
-            _elem122 = new TrialReportMessage();
-            _elem122.read(iprot);
-            struct.trials.add(_elem122);
+            _elem140 = new TrialReportMessage();
+            _elem140.read(iprot);
+            struct.trials.add(_elem140);
           }
         }
         struct.setTrialsIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list124 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.poison = new java.util.ArrayList<PoisonEvidenceMessage>(_list124.size);
-          @org.apache.thrift.annotation.Nullable PoisonEvidenceMessage _elem125;
-          for (int _i126 = 0; _i126 < _list124.size; ++_i126)
+          org.apache.thrift.protocol.TList _list142 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.poison = new java.util.ArrayList<PoisonEvidenceMessage>(_list142.size);
+          @org.apache.thrift.annotation.Nullable PoisonEvidenceMessage _elem143;
+          for (int _i144 = 0; _i144 < _list142.size; ++_i144)
           {
-            _elem125 = new PoisonEvidenceMessage();
-            _elem125.read(iprot);
-            struct.poison.add(_elem125);
+            _elem143 = new PoisonEvidenceMessage();
+            _elem143.read(iprot);
+            struct.poison.add(_elem143);
           }
         }
         struct.setPoisonIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list127 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.limits = new java.util.ArrayList<PoolLimitsMessage>(_list127.size);
-          @org.apache.thrift.annotation.Nullable PoolLimitsMessage _elem128;
-          for (int _i129 = 0; _i129 < _list127.size; ++_i129)
+          org.apache.thrift.protocol.TList _list145 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.limits = new java.util.ArrayList<PoolLimitsMessage>(_list145.size);
+          @org.apache.thrift.annotation.Nullable PoolLimitsMessage _elem146;
+          for (int _i147 = 0; _i147 < _list145.size; ++_i147)
           {
-            _elem128 = new PoolLimitsMessage();
-            _elem128.read(iprot);
-            struct.limits.add(_elem128);
+            _elem146 = new PoolLimitsMessage();
+            _elem146.read(iprot);
+            struct.limits.add(_elem146);
           }
         }
         struct.setLimitsIsSet(true);
       }
+      if (incoming.get(3)) {
+        struct.dutyToken = iprot.readI64();
+        struct.setDutyTokenIsSet(true);
+      }
+      if (incoming.get(4)) {
+        struct.wallLessStoreMilliseconds = iprot.readI64();
+        struct.setWallLessStoreMillisecondsIsSet(true);
+      }
     }
   }
 
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/RowContentMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/RowContentMessage.java
@@ -442,13 +442,13 @@
           case 2: // NUMBERS
             if (schemeField.type == org.apache.thrift.protocol.TType.SET) {
               {
-                org.apache.thrift.protocol.TSet _set130 = iprot.readSetBegin();
-                struct.numbers = new java.util.HashSet<java.lang.Long>(2*_set130.size);
-                long _elem131;
-                for (int _i132 = 0; _i132 < _set130.size; ++_i132)
+                org.apache.thrift.protocol.TSet _set148 = iprot.readSetBegin();
+                struct.numbers = new java.util.HashSet<java.lang.Long>(2*_set148.size);
+                long _elem149;
+                for (int _i150 = 0; _i150 < _set148.size; ++_i150)
                 {
-                  _elem131 = iprot.readI64();
-                  struct.numbers.add(_elem131);
+                  _elem149 = iprot.readI64();
+                  struct.numbers.add(_elem149);
                 }
                 iprot.readSetEnd();
               }
@@ -482,9 +482,9 @@
         oprot.writeFieldBegin(NUMBERS_FIELD_DESC);
         {
           oprot.writeSetBegin(new org.apache.thrift.protocol.TSet(org.apache.thrift.protocol.TType.I64, struct.numbers.size()));
-          for (long _iter133 : struct.numbers)
+          for (long _iter151 : struct.numbers)
           {
-            oprot.writeI64(_iter133);
+            oprot.writeI64(_iter151);
           }
           oprot.writeSetEnd();
         }
@@ -511,9 +511,9 @@
       oprot.writeBinary(struct.value);
       {
         oprot.writeI32(struct.numbers.size());
-        for (long _iter134 : struct.numbers)
+        for (long _iter152 : struct.numbers)
         {
-          oprot.writeI64(_iter134);
+          oprot.writeI64(_iter152);
         }
       }
     }
@@ -524,13 +524,13 @@
       struct.value = iprot.readBinary();
       struct.setValueIsSet(true);
       {
-        org.apache.thrift.protocol.TSet _set135 = iprot.readSetBegin(org.apache.thrift.protocol.TType.I64);
-        struct.numbers = new java.util.HashSet<java.lang.Long>(2*_set135.size);
-        long _elem136;
-        for (int _i137 = 0; _i137 < _set135.size; ++_i137)
+        org.apache.thrift.protocol.TSet _set153 = iprot.readSetBegin(org.apache.thrift.protocol.TType.I64);
+        struct.numbers = new java.util.HashSet<java.lang.Long>(2*_set153.size);
+        long _elem154;
+        for (int _i155 = 0; _i155 < _set153.size; ++_i155)
         {
-          _elem136 = iprot.readI64();
-          struct.numbers.add(_elem136);
+          _elem154 = iprot.readI64();
+          struct.numbers.add(_elem154);
         }
       }
       struct.setNumbersIsSet(true);
--- a/wagtailmux-peer/src/main/thrift/engine.thrift
+++ b/wagtailmux-peer/src/main/thrift/engine.thrift
@@ -113,6 +113,26 @@
   3: required list<EndpointLimitMessage> limits
 }
 
+struct WindowUsageMessage {
+  1: required i64 window
+  2: required map<string, i64> counts
+}
+
+struct DutyLeaseMessage {
+  1: required string instance
+  2: required i64 incarnation
+  3: required i64 token
+  4: required bool released
+  5: optional string previous
+}
+
+struct UsagePushMessage {
+  1: required string instance
+  2: required i64 boot
+  3: required i64 currentWindow
+  4: required list<WindowUsageMessage> windows
+}
+
 struct PingMessage {
   1: required InstanceRecordMessage sender
   2: required i64 configurationVersion
@@ -120,6 +140,8 @@
   4: optional list<TrialReportMessage> trials
   5: optional list<PoisonEvidenceMessage> poison
   6: optional list<PoolLimitsMessage> limits
+  7: optional i64 dutyToken
+  8: optional i64 wallLessStoreMilliseconds
 }
 
 struct RowContentMessage {
