--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/duty/UsageCollection.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/duty/UsageCollection.java
@@ -43,14 +43,29 @@
 	 * @param window the window
 	 * @param counts all requests that the process has counted in the window so far, by
 	 * organisation
+	 * @return how many of the requests were not known before
 	 */
-	public void merge(DutyHolder source, long window, Map<OrganisationId, Long> counts) {
+	public long merge(DutyHolder source, long window, Map<OrganisationId, Long> counts) {
 		Map<OrganisationId, Long> known = this.windows.computeIfAbsent(window, (ignored) -> new HashMap<>())
 			.computeIfAbsent(source, (ignored) -> new HashMap<>());
+		long before = sum(known);
 		counts.forEach((organisation, count) -> known.merge(organisation, count, Math::max));
 		while (this.windows.size() > KEPT_WINDOWS) {
 			this.windows.pollFirstEntry();
 		}
+		return sum(known) - before;
+	}
+
+	private static long sum(Map<OrganisationId, Long> counts) {
+		return counts.values().stream().mapToLong(Long::longValue).sum();
+	}
+
+	/**
+	 * Returns for how many windows there are counts, for metrics.
+	 * @return the number
+	 */
+	public int openWindows() {
+		return this.windows.size();
 	}
 
 	/**
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineContext.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineContext.java
@@ -1,8 +1,10 @@
 package io.wagtailmux.engine;
 
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 import io.wagtailmux.decision.admission.Admission;
+import io.wagtailmux.decision.duty.UsageCounter;
 import io.wagtailmux.decision.placement.EnginePlacement;
 import io.wagtailmux.decision.placement.PlainPlacement;
 import io.wagtailmux.engine.forward.CrashWatch;
@@ -56,6 +58,8 @@
 
 	private PieceService pieces;
 
+	private Optional<UsageCounter> usage = Optional.empty();
+
 	/**
 	 * Creates the context.
 	 * @param client sends requests to endpoints and peers
@@ -98,6 +102,23 @@
 		return this.pieces;
 	}
 
+	/**
+	 * Sets the counter of requests that endpoints began to run. May be called once,
+	 * before traffic starts.
+	 * @param counter the counter
+	 */
+	public void usage(UsageCounter counter) {
+		this.usage = Optional.of(counter);
+	}
+
+	/**
+	 * Returns the counter of requests that endpoints began to run.
+	 * @return the counter; empty if usage is not reported
+	 */
+	public Optional<UsageCounter> usage() {
+		return this.usage;
+	}
+
 	/**
 	 * Returns the HTTP client for endpoints and peers.
 	 * @return the client
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +26,7 @@
 import io.wagtailmux.decision.poison.Refusal;
 import io.wagtailmux.decision.poison.RefusalState;
 import io.wagtailmux.engine.control.ServingControl;
+import io.wagtailmux.engine.duty.DutyControl;
 import io.wagtailmux.engine.front.CallerConnections;
 import io.wagtailmux.engine.front.HttpListener;
 import io.wagtailmux.engine.front.ListenException;
@@ -39,6 +41,7 @@
 import io.wagtailmux.engine.peer.PoisonMessages;
 import io.wagtailmux.engine.peer.TrialMessages;
 import io.wagtailmux.engine.port.CallerProtocol;
+import io.wagtailmux.engine.port.DutyReceiver;
 import io.wagtailmux.engine.port.EndpointProtocol;
 import io.wagtailmux.engine.port.FactCodec;
 import io.wagtailmux.engine.port.ProtocolException;
@@ -60,6 +63,7 @@
 import io.wagtailmux.peer.wire.PoisonEvidenceMessage;
 import io.wagtailmux.peer.wire.PoolLimitsMessage;
 import io.wagtailmux.peer.wire.RefusalMessage;
+import io.wagtailmux.peer.wire.UsagePushMessage;
 
 /**
  * One running instance: the traffic thread, the control thread and the listeners.
@@ -124,6 +128,8 @@
 
 	private final InstanceRecordMessage self;
 
+	private final Optional<DutyControl> duties;
+
 	private volatile boolean stopping;
 
 	private volatile boolean configured;
@@ -144,9 +150,11 @@
 	 * @param endpoints encodes and decodes messages to and from endpoints
 	 * @param facts reads and writes rows of the store
 	 * @param store creates the client of the store from the HTTP client
+	 * @param dutyReceiver creates the client of the receiver of duties from the HTTP
+	 * client; not used if the settings name no duties
 	 */
 	public EngineProcess(EngineSettings settings, CallerProtocol callers, EndpointProtocol endpoints, FactCodec facts,
-			Function<HttpClient, RowStore> store) {
+			Function<HttpClient, RowStore> store, Function<HttpClient, DutyReceiver> dutyReceiver) {
 		this.settings = settings;
 		HttpClient client = new HttpClient(this.traffic, this.time);
 		EngineMetrics metrics = new EngineMetrics(this.registry);
@@ -164,12 +172,18 @@
 				settings.peers().getPort(), settings.zone().value(), this.time.instant().toEpochMilli())
 			.setCores(settings.capacity().cores())
 			.setLinkMegabits(settings.capacity().linkMegabits());
-		this.control = new ServingControl(this.self, facts, store.apply(client), client, this.controlThread, this.time,
+		RowStore rows = store.apply(client);
+		this.control = new ServingControl(this.self, facts, rows, client, this.controlThread, this.time,
 				FeedTiming.of(settings.recoveryBound()),
 				(view) -> this.traffic.execute("new view", () -> applyView(view)),
 				(consumer) -> this.traffic.execute("reports of trials", () -> consumer.accept(state.trialReports())),
 				settings.limits().exposureShare(), this::onHeartbeatAnswer, this::onRefusalRead,
 				(era) -> this.traffic.execute("restored store", () -> onStoreRestored(era)));
+		this.duties = settings.duties()
+			.map((duties) -> new DutyControl(new DutyCandidate(settings.instance(), settings.capacity()),
+					this.self.getBoot(), duties, rows, dutyReceiver.apply(client), this.control, client,
+					this.controlThread, this.time, this.registry));
+		this.duties.ifPresent((control) -> this.context.usage(control.counter()));
 	}
 
 	/**
@@ -187,6 +201,7 @@
 			throw ex;
 		}
 		this.control.start();
+		this.duties.ifPresent(DutyControl::start);
 		LOG.atInfo()
 			.addKeyValue("instance", this.settings.instance())
 			.addKeyValue("zone", this.settings.zone())
@@ -225,6 +240,7 @@
 			this.context.state().updateStopPlan(this.stopPlan);
 			this.connections.startDraining();
 			this.control.deregister();
+			this.duties.ifPresent(DutyControl::stop);
 			checkStop();
 		});
 	}
@@ -249,7 +265,7 @@
 					.addLast(new HttpObjectAggregator(PEER_BODY_BYTES),
 							new PeerHandler(EngineProcess.this.localPieces, EngineProcess.this::pingMessage,
 									EngineProcess.this.control::knownTables, EngineProcess.this::mergeReports,
-									EngineProcess.this.traffic.errors()));
+									EngineProcess.this::onUsage, EngineProcess.this.traffic.errors()));
 			}
 
 		};
@@ -271,6 +287,7 @@
 	private PingMessage pingMessage() {
 		long version = this.context.state().view().configuration().map(ServingConfiguration::version).orElse(0L);
 		PingMessage message = new PingMessage(this.self, version, this.stopping);
+		this.duties.ifPresent((control) -> control.addTo(message));
 		List<TrialReport> trials = this.context.state().trialReports();
 		if (!trials.isEmpty()) {
 			message.setTrials(TrialMessages.messages(trials));
@@ -283,7 +300,13 @@
 		return limits.isEmpty() ? message : message.setLimits(limits);
 	}
 
+	private long onUsage(UsagePushMessage message) {
+		this.duties.ifPresent((control) -> control.onCounts(message));
+		return this.self.getBoot();
+	}
+
 	private void onHeartbeatAnswer(PingMessage answer) {
+		this.duties.ifPresent((control) -> control.onHeartbeat(answer));
 		if (answer.isSetPoison() || answer.isSetLimits()) {
 			this.traffic.execute("reports of an instance", () -> mergeReports(answer));
 		}
@@ -381,6 +404,7 @@
 	private void stopAccepting() {
 		this.listeners.forEach(HttpListener::close);
 		this.connections.closeIdle();
+		this.duties.ifPresent(DutyControl::sendLastCounts);
 	}
 
 	private void awaitLastWrites(Duration until) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineSettings.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineSettings.java
@@ -2,8 +2,10 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 
 import io.wagtailmux.decision.ownership.InstanceCapacity;
+import io.wagtailmux.engine.duty.DutySettings;
 import io.wagtailmux.engine.state.SharedLimits;
 import io.wagtailmux.model.AvailabilityZoneId;
 import io.wagtailmux.model.InstanceId;
@@ -24,10 +26,12 @@
  * @param grace the time from the stop signal to the forced kill of the process
  * @param recoveryBound the time after the end of a fault of its connections within which
  * the instance must follow the store again
+ * @param duties the duties that one instance performs for all; empty if there are none
  * @author the wagtailmux developers
  */
 public record EngineSettings(InstanceId instance, AvailabilityZoneId zone, InetSocketAddress callers,
 		InetSocketAddress readiness, String readinessPath, InetSocketAddress peers, InetSocketAddress metrics,
-		SharedLimits limits, InstanceCapacity capacity, Duration grace, Duration recoveryBound) {
+		SharedLimits limits, InstanceCapacity capacity, Duration grace, Duration recoveryBound,
+		Optional<DutySettings> duties) {
 
 }
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Membership.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Membership.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import io.netty.handler.codec.http.HttpMethod;
 import org.slf4j.Logger;
@@ -206,6 +207,18 @@
 		return (int) this.known.values().stream().filter((instance) -> !isSelf(instance)).count() + 1;
 	}
 
+	/**
+	 * Returns the other instances that may be alive.
+	 * @return their ids; none until the rows have been read
+	 */
+	Set<InstanceId> possiblyAliveOthers() {
+		return this.known.values()
+			.stream()
+			.filter((instance) -> !isSelf(instance))
+			.map(KnownInstance::id)
+			.collect(Collectors.toSet());
+	}
+
 	/**
 	 * Reports the other instances once. In a later era of the store, rows may be missing
 	 * until their instances have written them again, so that a read without other rows is
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/ServingControl.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/ServingControl.java
@@ -15,9 +15,11 @@
 import io.wagtailmux.decision.ownership.DutyCandidate;
 import io.wagtailmux.decision.ownership.InstanceCapacity;
 import io.wagtailmux.decision.ownership.PoolShards;
+import io.wagtailmux.engine.duty.DutyPeers;
 import io.wagtailmux.engine.http.HttpClient;
 import io.wagtailmux.engine.port.FactCodec;
 import io.wagtailmux.engine.port.RowStore;
+import io.wagtailmux.engine.state.InstancePeer;
 import io.wagtailmux.engine.state.ServingView;
 import io.wagtailmux.model.InstanceId;
 import io.wagtailmux.model.TimeSource;
@@ -36,7 +38,7 @@
  *
  * @author the wagtailmux developers
  */
-public final class ServingControl {
+public final class ServingControl implements DutyPeers {
 
 	private static final int INSTANCES_WITHOUT_PAUSE = 13;
 
@@ -148,6 +150,16 @@
 		}, this.control);
 	}
 
+	@Override
+	public List<InstancePeer> alive() {
+		return this.membership.alive();
+	}
+
+	@Override
+	public Set<InstanceId> possiblyAlive() {
+		return this.membership.possiblyAliveOthers();
+	}
+
 	private void adopt(KnownTablesMessage known) {
 		for (KnownTableMessage table : known.getTables()) {
 			for (TableMirror mirror : List.of(this.operator.mirror(), this.registry.mirror())) {
--- /dev/null
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/duty/DutyControl.java
@@ -0,0 +1,387 @@
+package io.wagtailmux.engine.duty;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+import com.codahale.metrics.MetricRegistry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.wagtailmux.decision.duty.ClockReading;
+import io.wagtailmux.decision.duty.DutyHolder;
+import io.wagtailmux.decision.duty.DutyLease;
+import io.wagtailmux.decision.duty.DutyLeaseRow;
+import io.wagtailmux.decision.duty.FencingToken;
+import io.wagtailmux.decision.duty.LeaseStep;
+import io.wagtailmux.decision.duty.LeaseWish;
+import io.wagtailmux.decision.duty.TrueClock;
+import io.wagtailmux.decision.duty.UsageCollection;
+import io.wagtailmux.decision.duty.UsageCounter;
+import io.wagtailmux.decision.ownership.DutyCandidate;
+import io.wagtailmux.engine.http.HttpClient;
+import io.wagtailmux.engine.port.DutyReceiver;
+import io.wagtailmux.engine.port.ProtocolException;
+import io.wagtailmux.engine.port.RowPage;
+import io.wagtailmux.engine.port.RowStore;
+import io.wagtailmux.engine.port.StoreErrorCode;
+import io.wagtailmux.engine.port.StoreException;
+import io.wagtailmux.engine.port.StoredRow;
+import io.wagtailmux.engine.state.InstancePeer;
+import io.wagtailmux.engine.thread.TrafficLoop;
+import io.wagtailmux.model.InstanceId;
+import io.wagtailmux.model.ModelException;
+import io.wagtailmux.model.OrganisationId;
+import io.wagtailmux.model.StoreVersion;
+import io.wagtailmux.model.TimeSource;
+import io.wagtailmux.peer.wire.PingMessage;
+import io.wagtailmux.peer.wire.UsagePushMessage;
+
+/**
+ * One instance's part in the duties that one instance performs for all: keeps the lease
+ * if it is this instance's turn, sends its counts to the instances that collect them, and
+ * lets the parts for the single duties act while it is the holder. Confined to the
+ * control thread unless a method states otherwise.
+ *
+ * @author the wagtailmux developers
+ */
+public final class DutyControl {
+
+	private static final Logger LOG = LoggerFactory.getLogger(DutyControl.class);
+
+	private static final String TABLE = "duties";
+
+	private static final String LEASE_KEY = "lease";
+
+	/** Name by which instances are ranked. */
+	private static final String RANKING = "duties";
+
+	private static final Duration TICK_INTERVAL = Duration.ofMillis(200);
+
+	/** The holder and the one that would follow. */
+	private static final int COLLECTORS = 2;
+
+	/**
+	 * A window is over for this instance a little later, since the estimate of the true
+	 * time may still move.
+	 */
+	private static final Duration CLOCK_UNCERTAINTY = Duration.ofMillis(300);
+
+	private final DutyCandidate self;
+
+	private final DutyHolder holder;
+
+	private final DutySettings settings;
+
+	private final RowStore store;
+
+	private final DutyPeers peers;
+
+	private final TrafficLoop traffic;
+
+	private final ScheduledExecutorService control;
+
+	private final TimeSource time;
+
+	private final DutyMetrics metrics;
+
+	private final TrueClock trueClock = new TrueClock();
+
+	private final DutyLease lease;
+
+	private final UsageCounter counter;
+
+	private final UsageCollection collection;
+
+	private final UsageReporting usage;
+
+	private final UsagePush push;
+
+	private Duration nextPush = Duration.ZERO;
+
+	private Optional<Duration> notFirstSince = Optional.empty();
+
+	private Optional<FencingToken> loggedToken = Optional.empty();
+
+	private boolean stopping;
+
+	private volatile HeartbeatFacts heartbeatFacts = new HeartbeatFacts(FencingToken.NONE, Optional.empty());
+
+	/**
+	 * Creates the part of an instance that holds no duties yet.
+	 * @param self this instance as a candidate
+	 * @param incarnation distinguishes this process from former ones of the instance
+	 * @param settings the duties and their times
+	 * @param store the store that holds the lease and the reports
+	 * @param receiver the receiver of the holder's calls
+	 * @param peers the other instances
+	 * @param client sends counts to other instances
+	 * @param control the control thread
+	 * @param time the clocks
+	 * @param registry the registry that the metrics are added to
+	 */
+	public DutyControl(DutyCandidate self, long incarnation, DutySettings settings, RowStore store,
+			DutyReceiver receiver, DutyPeers peers, HttpClient client, ScheduledExecutorService control,
+			TimeSource time, MetricRegistry registry) {
+		this.self = self;
+		this.holder = new DutyHolder(self.id(), incarnation);
+		this.settings = settings;
+		this.store = store;
+		this.peers = peers;
+		this.traffic = client.loop();
+		this.control = control;
+		this.time = time;
+		this.metrics = new DutyMetrics(registry);
+		this.lease = new DutyLease(this.holder, settings.lease());
+		this.collection = new UsageCollection(settings.usage());
+		this.counter = new UsageCounter(settings.usage(), this.trueClock.trueLessElapsed(ClockReading.of(time)));
+		this.usage = new UsageReporting(self.id(), settings.usage(), this.collection, store, receiver, control, time,
+				this.metrics);
+		this.push = new UsagePush(this.holder, client);
+	}
+
+	/**
+	 * Starts. May be called on any thread.
+	 */
+	public void start() {
+		this.store.onStoreTime((sentAt, receivedAt, storeTime) -> this.control
+			.execute(() -> this.trueClock.onStoreTime(sentAt, receivedAt, storeTime)));
+		this.control.scheduleWithFixedDelay(this::runTick, TICK_INTERVAL.toMillis(), TICK_INTERVAL.toMillis(),
+				TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Gives the duties up, since this instance stops. Its counts are still sent. May be
+	 * called on any thread.
+	 */
+	public void stop() {
+		this.control.execute(() -> this.stopping = true);
+	}
+
+	/**
+	 * Sends the last counts before this instance ends. May be called on any thread.
+	 */
+	public void sendLastCounts() {
+		this.control.execute(this::pushCounts);
+	}
+
+	/**
+	 * Returns the counter of this instance's requests.
+	 * @return the counter, to be used on the traffic thread
+	 */
+	public UsageCounter counter() {
+		return this.counter;
+	}
+
+	/**
+	 * Adds what other instances need to know to a heartbeat message. May be called on any
+	 * thread.
+	 * @param message the message
+	 */
+	public void addTo(PingMessage message) {
+		HeartbeatFacts facts = this.heartbeatFacts;
+		message.setDutyToken(facts.token().value());
+		facts.difference().ifPresent((difference) -> message.setWallLessStoreMilliseconds(difference.toMillis()));
+	}
+
+	/**
+	 * Accepts what another instance tells with a heartbeat.
+	 * @param message the message
+	 */
+	public void onHeartbeat(PingMessage message) {
+		if (message.isSetDutyToken()) {
+			this.lease.onTokenHeard(new FencingToken(message.getDutyToken()));
+		}
+		if (message.isSetWallLessStoreMilliseconds()) {
+			this.trueClock.onDifference(new InstanceId(message.getSender().getInstance()),
+					Duration.ofMillis(message.getWallLessStoreMilliseconds()), ClockReading.of(this.time));
+		}
+	}
+
+	/**
+	 * Accepts counts of another instance. May be called on any thread.
+	 * @param message the counts
+	 */
+	public void onCounts(UsagePushMessage message) {
+		this.control.execute(() -> {
+			try {
+				DutyHolder source = new DutyHolder(new InstanceId(message.getInstance()), message.getBoot());
+				message.getWindows()
+					.forEach((window) -> merge(source, window.getWindow(), DutyMessages.counts(window)));
+				this.collection.onCurrentWindow(source.instance(), message.getCurrentWindow());
+			}
+			catch (ModelException ex) {
+				LOG.atWarn().addKeyValue("why", ex.getMessage()).log("usage of an instance not decoded");
+			}
+		});
+	}
+
+	private void merge(DutyHolder source, long window, Map<OrganisationId, Long> counts) {
+		this.usage.onCounts(window, this.collection.merge(source, window, counts));
+	}
+
+	private void runTick() {
+		try {
+			tick();
+		}
+		catch (RuntimeException ex) {
+			LOG.atError().setCause(ex).log("update of duties failed");
+		}
+	}
+
+	private void tick() {
+		ClockReading now = ClockReading.of(this.time);
+		Duration offset = this.trueClock.trueLessElapsed(now);
+		this.traffic.execute("true time", () -> this.counter.adjust(offset));
+		if (now.elapsed().compareTo(this.nextPush) >= 0) {
+			this.nextPush = now.elapsed()
+				.plus(UsagePush.interval(this.peers.possiblyAlive().size() + 1, this.settings.usage()));
+			pushCounts();
+		}
+		advanceLease(now);
+		this.lease.permit(now).ifPresent((permit) -> this.usage.advance(permit, expected(), offset));
+		this.heartbeatFacts = new HeartbeatFacts(this.lease.highestKnown(), this.trueClock.difference(now));
+		this.metrics.update(this.lease.highestKnown().value(), this.lease.token().isPresent(),
+				this.lease.age(now).toMillis(), this.collection.openWindows());
+		logHolder(now);
+	}
+
+	private Set<InstanceId> expected() {
+		Set<InstanceId> expected = new HashSet<>(this.peers.possiblyAlive());
+		expected.add(this.self.id());
+		this.collection.retain(expected);
+		return expected;
+	}
+
+	private void pushCounts() {
+		this.traffic.execute("usage counts", () -> {
+			NavigableMap<Long, Map<OrganisationId, Long>> counts = this.counter.counts();
+			long current = this.counter.currentWindow(this.time.elapsed().minus(CLOCK_UNCERTAINTY));
+			this.control.execute(() -> push(counts, current));
+		});
+	}
+
+	private void push(NavigableMap<Long, Map<OrganisationId, Long>> counts, long current) {
+		counts.forEach((window, ofWindow) -> merge(this.holder, window, ofWindow));
+		this.collection.onCurrentWindow(this.self.id(), current);
+		List<InstancePeer> alive = this.peers.alive();
+		List<InstanceId> collectors = DutyCandidate
+			.first(Stream.concat(Stream.of(this.self), alive.stream().map(InstancePeer::candidate)).toList(), RANKING,
+					COLLECTORS)
+			.stream()
+			.map(DutyCandidate::id)
+			.toList();
+		this.push.retain(collectors);
+		alive.stream()
+			.filter((peer) -> collectors.contains(peer.id()))
+			.forEach((peer) -> this.push.send(peer, current, counts,
+					(incarnation) -> this.control.execute(() -> this.push.confirm(peer.id(), incarnation, current))));
+	}
+
+	private void advanceLease(ClockReading now) {
+		LeaseStep step = this.lease.next(now, wish(now.elapsed()), this.usage.isSending());
+		if (step instanceof LeaseStep.Read) {
+			this.store.read(TABLE, LEASE_KEY).whenCompleteAsync(this::onLeaseRead, this.control);
+		}
+		else if (step instanceof LeaseStep.Write write) {
+			this.store.write(TABLE, LEASE_KEY, DutyMessages.encode(write.row()), write.expected())
+				.whenCompleteAsync((version, failure) -> onLeaseWritten(write.row(), version, failure), this.control);
+		}
+	}
+
+	/**
+	 * Returns whether this instance should hold the duties. An instance of higher rank
+	 * takes them over only after it has been there for a while.
+	 * @param now the elapsed time
+	 * @return the wish
+	 */
+	private LeaseWish wish(Duration now) {
+		if (this.stopping) {
+			return LeaseWish.RELEASE;
+		}
+		boolean first = this.peers.alive()
+			.stream()
+			.map(InstancePeer::candidate)
+			.noneMatch((peer) -> this.self.yieldsTo(peer, RANKING));
+		if (first) {
+			this.notFirstSince = Optional.empty();
+			return LeaseWish.TAKE;
+		}
+		Duration since = this.notFirstSince.orElse(now);
+		this.notFirstSince = Optional.of(since);
+		boolean handsOver = now.minus(since).compareTo(this.settings.lease().handoverDelay()) >= 0;
+		return handsOver ? LeaseWish.RELEASE : LeaseWish.KEEP;
+	}
+
+	private void onLeaseRead(RowPage page, Throwable failure) {
+		ClockReading now = ClockReading.of(this.time);
+		if (failure != null) {
+			LOG.atWarn().addKeyValue("why", failure.getMessage()).log("could not read the lease of the duties");
+			this.lease.onReadFailed(now);
+			return;
+		}
+		Optional<StoredRow> row = page.rows().stream().filter((found) -> found.key().equals(LEASE_KEY)).findFirst();
+		this.lease.onRead(row.flatMap(DutyControl::decode), row.map(StoredRow::version).orElse(StoreVersion.NONE),
+				page.version().era(), now);
+	}
+
+	private static Optional<DutyLeaseRow> decode(StoredRow row) {
+		try {
+			return Optional.of(DutyMessages.lease(row.value()));
+		}
+		catch (ProtocolException | ModelException ex) {
+			LOG.atWarn().addKeyValue("why", ex.getMessage()).log("lease of the duties not decoded");
+			return Optional.empty();
+		}
+	}
+
+	private void onLeaseWritten(DutyLeaseRow row, StoreVersion version, Throwable failure) {
+		ClockReading now = ClockReading.of(this.time);
+		if (failure == null) {
+			this.lease.onWritten(version, now);
+			return;
+		}
+		LOG.atWarn()
+			.addKeyValue("token", row.token())
+			.addKeyValue("released", row.released())
+			.addKeyValue("why", failure.getMessage())
+			.log("could not write the lease of the duties");
+		this.lease.onWriteFailed(isConflict(failure), now);
+	}
+
+	private static boolean isConflict(Throwable failure) {
+		Throwable cause = (failure.getCause() != null) ? failure.getCause() : failure;
+		return cause instanceof StoreException store && store.code() == StoreErrorCode.CONFLICT;
+	}
+
+	private void logHolder(ClockReading now) {
+		Optional<FencingToken> token = this.lease.token();
+		if (token.equals(this.loggedToken)) {
+			return;
+		}
+		this.loggedToken = token;
+		LOG.atInfo()
+			.addKeyValue("held", token.isPresent())
+			.addKeyValue("token", this.lease.highestKnown())
+			.addKeyValue("ageMs", this.lease.age(now).toMillis())
+			.log("duties changed");
+	}
+
+	/**
+	 * What heartbeats tell other instances.
+	 *
+	 * @param token the largest token that is known
+	 * @param difference how far the own wall clock is ahead of the store's
+	 */
+	private record HeartbeatFacts(FencingToken token, Optional<Duration> difference) {
+
+	}
+
+}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
@@ -25,6 +25,7 @@
 import io.wagtailmux.engine.state.PoolTraffic;
 import io.wagtailmux.engine.state.StopPlan;
 import io.wagtailmux.model.EndpointId;
+import io.wagtailmux.model.OrganisationId;
 import io.wagtailmux.model.PoolId;
 import io.wagtailmux.model.serving.RequestKind;
 import io.wagtailmux.model.serving.Route;
@@ -107,6 +108,8 @@
 
 	private boolean ended;
 
+	private boolean usageCounted;
+
 	/**
 	 * Creates the exchange for a request that was read completely.
 	 * @param context the shared objects of the engine
@@ -616,6 +619,19 @@
 		this.stages.release();
 	}
 
+	/**
+	 * Counts the request for its organisation, once, since an endpoint has begun to run
+	 * it.
+	 */
+	void countUsage() {
+		if (this.usageCounted || this.match.organisation().isEmpty()) {
+			return;
+		}
+		this.usageCounted = true;
+		OrganisationId organisation = this.match.organisation().get();
+		this.context.usage().ifPresent((counter) -> counter.record(organisation, now()));
+	}
+
 	RequestSuspects suspects() {
 		return this.suspects;
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
@@ -413,6 +413,9 @@
 	 * @param success whether the response was no failure
 	 */
 	private void recordAnswer(boolean success) {
+		if (this.firstByteReceived || !this.exchange.streaming()) {
+			this.exchange.countUsage();
+		}
 		Duration elapsed = now().minus(this.startedAt);
 		load().recordAnswer(success, elapsed, now());
 		this.exchange.pool().recordAnswer(this.endpoint, this.exchange.route().name(), success, elapsed);
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PeerHandler.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PeerHandler.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -29,6 +30,8 @@
 import io.wagtailmux.peer.wire.KnownTablesMessage;
 import io.wagtailmux.peer.wire.PieceGroupMessage;
 import io.wagtailmux.peer.wire.PingMessage;
+import io.wagtailmux.peer.wire.UsageConfirmationMessage;
+import io.wagtailmux.peer.wire.UsagePushMessage;
 
 /**
  * Handles the requests of another instance on one connection, one request at a time. When
@@ -52,6 +55,8 @@
 
 	private final Consumer<PingMessage> onEvidence;
 
+	private final ToLongFunction<UsagePushMessage> onUsage;
+
 	private final UnexpectedErrors errors;
 
 	private Runnable cancellation = NO_ACTION;
@@ -64,16 +69,19 @@
 	 * @param knownTables returns what this instance knows of the store's tables; called
 	 * on the traffic thread
 	 * @param onEvidence receives what another instance has just learned
+	 * @param onUsage receives the counts of another instance and returns the incarnation
+	 * of this one
 	 * @param errors records errors that no code expects
 	 */
 	public PeerHandler(LocalPieceService pieceService, Supplier<PingMessage> pingMessage,
 			Supplier<CompletableFuture<KnownTablesMessage>> knownTables, Consumer<PingMessage> onEvidence,
-			UnexpectedErrors errors) {
+			ToLongFunction<UsagePushMessage> onUsage, UnexpectedErrors errors) {
 		this.errors = errors;
 		this.pieceService = pieceService;
 		this.pingMessage = pingMessage;
 		this.knownTables = knownTables;
 		this.onEvidence = onEvidence;
+		this.onUsage = onUsage;
 	}
 
 	@Override
@@ -108,6 +116,10 @@
 			this.onEvidence.accept(ThriftCodec.decode(request.content(), new PingMessage()));
 			write(context, HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER);
 		}
+		else if (path.equals(PeerPath.USAGE.path())) {
+			long incarnation = this.onUsage.applyAsLong(ThriftCodec.decode(request.content(), new UsagePushMessage()));
+			write(context, HttpResponseStatus.OK, ThriftCodec.encode(new UsageConfirmationMessage(incarnation)));
+		}
 		else if (path.equals(PeerPath.FACTS.path())) {
 			this.knownTables.get()
 				.whenCompleteAsync((known, failure) -> answerFacts(context, known, failure), context.executor());
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PeerPath.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PeerPath.java
@@ -19,6 +19,9 @@
 	/** Accepts what another instance has just learned of the ends of endpoints. */
 	EVIDENCE("/evidence"),
 
+	/** Accepts the counts of requests of another instance. */
+	USAGE("/usage"),
+
 	/** Heartbeat: returns the state of the instance. */
 	PING("/ping");
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/port/RowStore.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/port/RowStore.java
@@ -57,4 +57,10 @@
 	 */
 	CompletableFuture<StoreVersion> remove(String table, String key, StoreVersion expectedVersion);
 
+	/**
+	 * Sets the receiver of the store's steady clock; there is none unless set.
+	 * @param listener receives the clock from each answer that states it
+	 */
+	void onStoreTime(StoreTimeListener listener);
+
 }
--- a/wagtailmux-peer/src/main/thrift/engine.thrift
+++ b/wagtailmux-peer/src/main/thrift/engine.thrift
@@ -133,6 +133,10 @@
   4: required list<WindowUsageMessage> windows
 }
 
+struct UsageConfirmationMessage {
+  1: required i64 boot
+}
+
 struct PingMessage {
   1: required InstanceRecordMessage sender
   2: required i64 configurationVersion
