--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/duty/CapacityOrder.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/capacity/CapacityOrder.java
@@ -1,4 +1,4 @@
-package io.wagtailmux.decision.duty;
+package io.wagtailmux.decision.capacity;
 
 import io.wagtailmux.model.AvailabilityZoneId;
 import io.wagtailmux.model.PoolId;
--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/duty/ClockReading.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/duty/ClockReading.java
@@ -1,7 +1,6 @@
 package io.wagtailmux.decision.duty;
 
 import java.time.Duration;
-import java.time.Instant;
 
 import io.wagtailmux.model.TimeSource;
 
@@ -10,10 +9,10 @@
  *
  * @param elapsed the monotonic clock, which may stand still while the machine is
  * suspended
- * @param wall the wall clock, which may be adjusted
+ * @param wall the wall clock as the time since the start of 1970; it may be adjusted
  * @author the wagtailmux developers
  */
-public record ClockReading(Duration elapsed, Instant wall) {
+public record ClockReading(Duration elapsed, Duration wall) {
 
 	/**
 	 * Reads the clocks.
@@ -21,7 +20,7 @@
 	 * @return the reading
 	 */
 	public static ClockReading of(TimeSource time) {
-		return new ClockReading(time.elapsed(), time.instant());
+		return new ClockReading(time.elapsed(), time.sinceEpoch());
 	}
 
 	/**
@@ -31,7 +30,7 @@
 	 */
 	public Duration longestSince(ClockReading earlier) {
 		Duration monotonic = this.elapsed.minus(earlier.elapsed);
-		Duration byWallClock = Duration.between(earlier.wall, this.wall);
+		Duration byWallClock = this.wall.minus(earlier.wall);
 		return (byWallClock.compareTo(monotonic) > 0) ? byWallClock : monotonic;
 	}
 
--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/duty/TrueClock.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/duty/TrueClock.java
@@ -1,7 +1,6 @@
 package io.wagtailmux.decision.duty;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -72,7 +71,7 @@
 	 * @return the difference; empty until the store has answered
 	 */
 	public Optional<Duration> difference(ClockReading now) {
-		return this.storeLessElapsed.map((offset) -> sinceEpoch(now).minus(now.elapsed()).minus(offset));
+		return this.storeLessElapsed.map((offset) -> now.wall().minus(now.elapsed()).minus(offset));
 	}
 
 	/**
@@ -84,7 +83,7 @@
 	public Duration trueLessElapsed(ClockReading now) {
 		Optional<Duration> own = difference(now);
 		if (own.isEmpty()) {
-			return sinceEpoch(now).minus(now.elapsed());
+			return now.wall().minus(now.elapsed());
 		}
 		this.heard.values().removeIf((difference) -> now.elapsed().minus(difference.at()).compareTo(MAXIMUM_AGE) > 0);
 		List<Duration> differences = new ArrayList<>(List.of(own.get()));
@@ -97,10 +96,6 @@
 		return this.storeLessElapsed.orElseThrow().plus(differences.get((differences.size() - 1) / 2));
 	}
 
-	private static Duration sinceEpoch(ClockReading now) {
-		return Duration.between(Instant.EPOCH, now.wall());
-	}
-
 	/**
 	 * Difference that another instance has told.
 	 *
--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/duty/UsageCollection.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/duty/UsageCollection.java
@@ -20,9 +20,6 @@
  */
 public final class UsageCollection {
 
-	/** Windows that are kept. */
-	private static final int KEPT_WINDOWS = 12;
-
 	private final UsageTiming timing;
 
 	private final NavigableMap<Long, Map<DutyHolder, Map<OrganisationId, Long>>> windows = new TreeMap<>();
@@ -50,7 +47,7 @@
 			.computeIfAbsent(source, (ignored) -> new HashMap<>());
 		long before = sum(known);
 		counts.forEach((organisation, count) -> known.merge(organisation, count, Math::max));
-		while (this.windows.size() > KEPT_WINDOWS) {
+		while (this.windows.size() > UsageTiming.KEPT_WINDOWS + 1) {
 			this.windows.pollFirstEntry();
 		}
 		return sum(known) - before;
--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/duty/UsageCounter.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/duty/UsageCounter.java
@@ -15,9 +15,6 @@
  */
 public final class UsageCounter {
 
-	/** Windows that are kept, the current one included. */
-	private static final int KEPT_WINDOWS = 5;
-
 	private final UsageTiming timing;
 
 	private final NavigableMap<Long, Map<OrganisationId, Long>> counts = new TreeMap<>();
@@ -50,7 +47,7 @@
 	public void record(OrganisationId organisation, Duration elapsed) {
 		this.counts.computeIfAbsent(currentWindow(elapsed), (ignored) -> new TreeMap<>())
 			.merge(organisation, 1L, Long::sum);
-		while (this.counts.size() > KEPT_WINDOWS) {
+		while (this.counts.size() > UsageTiming.KEPT_WINDOWS + 1) {
 			this.counts.pollFirstEntry();
 		}
 	}
--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/duty/UsageReports.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/duty/UsageReports.java
@@ -22,7 +22,10 @@
  */
 public final class UsageReports {
 
-	/** Number of rows; a window uses the row of its number modulo this. */
+	/**
+	 * Number of rows, more than windows are kept; a window uses the row of its number
+	 * modulo this.
+	 */
 	private static final int ROWS = 16;
 
 	private static final Duration SHORTEST_PAUSE = Duration.ofMillis(250);
@@ -92,7 +95,7 @@
 			.stream()
 			.map(FixedReport::report)
 			.filter((report) -> !this.delivered.contains(report.window()))
-			.filter((report) -> !this.timing.isLongDue(report.window(), sinceEpoch))
+			.filter((report) -> !this.timing.isPast(report.window(), sinceEpoch))
 			.min(Comparator.comparingLong(UsageReport::window));
 		if (unsent.isPresent()) {
 			this.sent.add(unsent.get().window());
@@ -125,7 +128,7 @@
 	 * @return whether this instance fixed it itself, or the window ended in this era
 	 */
 	private boolean mayBeFixed(long window, Duration sinceEpoch) {
-		if (this.timing.isLongDue(window, sinceEpoch)) {
+		if (this.timing.isPast(window, sinceEpoch)) {
 			return false;
 		}
 		return this.fixedHere.containsKey(window) || this.timing.end(window).compareTo(this.eraBegan) >= 0;
@@ -160,9 +163,9 @@
 			this.rows.put(row(report.report().window()), report);
 			this.fixedHere.put(report.report().window(), report.report());
 		}
-		this.fixedHere.keySet().removeIf((window) -> this.timing.isLongDue(window, sinceEpoch));
-		this.sent.removeIf((window) -> this.timing.isLongDue(window, sinceEpoch));
-		this.delivered.removeIf((window) -> this.timing.isLongDue(window, sinceEpoch));
+		this.fixedHere.keySet().removeIf((window) -> this.timing.isPast(window, sinceEpoch));
+		this.sent.removeIf((window) -> this.timing.isPast(window, sinceEpoch));
+		this.delivered.removeIf((window) -> this.timing.isPast(window, sinceEpoch));
 	}
 
 	/**
--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/duty/UsageTiming.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/duty/UsageTiming.java
@@ -11,6 +11,9 @@
  */
 public record UsageTiming(Duration length, Duration due) {
 
+	/** Windows for which counts and reports are kept, besides the current one. */
+	static final int KEPT_WINDOWS = 12;
+
 	/** Time reserved for writing and sending a report before it is due. */
 	private static final Duration SENDING_TIME = Duration.ofSeconds(3);
 
@@ -43,13 +46,14 @@
 	}
 
 	/**
-	 * Returns whether a report is so late that a new holder does not send it again.
+	 * Returns whether a window is so long past that nothing more is done about it. Until
+	 * then nothing is lost while the store or the receiver is down.
 	 * @param window the number of the window
 	 * @param sinceEpoch the true time since the start of 1970
-	 * @return whether twice the time in which it was due has passed
+	 * @return whether more windows than are kept have ended since
 	 */
-	boolean isLongDue(long window, Duration sinceEpoch) {
-		return sinceEpoch.minus(end(window)).compareTo(this.due.multipliedBy(2)) > 0;
+	boolean isPast(long window, Duration sinceEpoch) {
+		return window(sinceEpoch) - window > KEPT_WINDOWS;
 	}
 
 }
--- a/wagtailmux-decision/src/test/java/io/wagtailmux/decision/duty/DutyLeaseTests.java
+++ b/wagtailmux-decision/src/test/java/io/wagtailmux/decision/duty/DutyLeaseTests.java
@@ -1,7 +1,6 @@
 package io.wagtailmux.decision.duty;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -180,7 +179,7 @@
 	}
 
 	private static ClockReading clocks(long millis) {
-		return new ClockReading(Duration.ofMillis(millis), Instant.ofEpochMilli(millis));
+		return new ClockReading(Duration.ofMillis(millis), Duration.ofMillis(millis));
 	}
 
 	/**
--- a/wagtailmux-decision/src/test/java/io/wagtailmux/decision/duty/DutySimulation.java
+++ b/wagtailmux-decision/src/test/java/io/wagtailmux/decision/duty/DutySimulation.java
@@ -1,7 +1,6 @@
 package io.wagtailmux.decision.duty;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.HashMap;
@@ -246,7 +245,7 @@
 		private ClockReading clocks() {
 			long elapsed = DutySimulation.this.nowMillis - this.suspendedMillis;
 			return new ClockReading(Duration.ofMillis(elapsed),
-					Instant.ofEpochMilli(DutySimulation.this.nowMillis).plus(this.wallStep));
+					Duration.ofMillis(DutySimulation.this.nowMillis).plus(this.wallStep));
 		}
 
 		/** An action of this process; kept back while it stands still. */
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
@@ -63,6 +63,7 @@
 import io.wagtailmux.peer.wire.PoisonEvidenceMessage;
 import io.wagtailmux.peer.wire.PoolLimitsMessage;
 import io.wagtailmux.peer.wire.RefusalMessage;
+import io.wagtailmux.peer.wire.UsageConfirmationMessage;
 import io.wagtailmux.peer.wire.UsagePushMessage;
 
 /**
@@ -181,7 +182,7 @@
 				(era) -> this.traffic.execute("restored store", () -> onStoreRestored(era)));
 		this.duties = settings.duties()
 			.map((duties) -> new DutyControl(new DutyCandidate(settings.instance(), settings.capacity()),
-					this.self.getBoot(), duties, rows, dutyReceiver.apply(client), this.control, client,
+					this.self.getBoot(), duties, rows, dutyReceiver.apply(client), this.control, state::demands, client,
 					this.controlThread, this.time, this.registry));
 		this.duties.ifPresent((control) -> this.context.usage(control.counter()));
 	}
@@ -300,9 +301,9 @@
 		return limits.isEmpty() ? message : message.setLimits(limits);
 	}
 
-	private long onUsage(UsagePushMessage message) {
-		this.duties.ifPresent((control) -> control.onCounts(message));
-		return this.self.getBoot();
+	private UsageConfirmationMessage onUsage(UsagePushMessage message) {
+		return this.duties.map((control) -> control.onCounts(message))
+			.orElseGet(() -> new UsageConfirmationMessage(this.self.getBoot()));
 	}
 
 	private void onHeartbeatAnswer(PingMessage answer) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/ServingControl.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/ServingControl.java
@@ -15,7 +15,7 @@
 import io.wagtailmux.decision.ownership.DutyCandidate;
 import io.wagtailmux.decision.ownership.InstanceCapacity;
 import io.wagtailmux.decision.ownership.PoolShards;
-import io.wagtailmux.engine.duty.DutyPeers;
+import io.wagtailmux.engine.duty.DutySurroundings;
 import io.wagtailmux.engine.http.HttpClient;
 import io.wagtailmux.engine.port.FactCodec;
 import io.wagtailmux.engine.port.RowStore;
@@ -38,7 +38,7 @@
  *
  * @author the wagtailmux developers
  */
-public final class ServingControl implements DutyPeers {
+public final class ServingControl implements DutySurroundings {
 
 	private static final int INSTANCES_WITHOUT_PAUSE = 13;
 
@@ -79,6 +79,8 @@
 
 	private boolean publishScheduled;
 
+	private ServingView published = ServingView.EMPTY;
+
 	/**
 	 * Creates the control state of an instance that has not read the store yet.
 	 * @param self this instance's record
@@ -160,6 +162,11 @@
 		return this.membership.possiblyAliveOthers();
 	}
 
+	@Override
+	public ServingView view() {
+		return this.published;
+	}
+
 	private void adopt(KnownTablesMessage known) {
 		for (KnownTableMessage table : known.getTables()) {
 			for (TableMirror mirror : List.of(this.operator.mirror(), this.registry.mirror())) {
@@ -252,9 +259,10 @@
 		if (!this.registry.complete() || !this.refusals.complete()) {
 			return;
 		}
-		this.viewListener.accept(new ServingView(this.operator.configuration(), Map.copyOf(this.registry.endpoints()),
+		this.published = new ServingView(this.operator.configuration(), Map.copyOf(this.registry.endpoints()),
 				this.operator.evacuated(), this.rollouts.trials(), this.membership.alive(),
-				this.membership.possiblyAlive()));
+				this.membership.possiblyAlive());
+		this.viewListener.accept(this.published);
 	}
 
 }
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/duty/DutyControl.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/duty/DutyControl.java
@@ -4,21 +4,24 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 
 import com.codahale.metrics.MetricRegistry;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.wagtailmux.decision.capacity.DemandSample;
 import io.wagtailmux.decision.duty.ClockReading;
+import io.wagtailmux.decision.duty.Duty;
 import io.wagtailmux.decision.duty.DutyHolder;
 import io.wagtailmux.decision.duty.DutyLease;
 import io.wagtailmux.decision.duty.DutyLeaseRow;
+import io.wagtailmux.decision.duty.DutyPermit;
 import io.wagtailmux.decision.duty.FencingToken;
 import io.wagtailmux.decision.duty.LeaseStep;
 import io.wagtailmux.decision.duty.LeaseWish;
@@ -39,9 +42,11 @@
 import io.wagtailmux.model.InstanceId;
 import io.wagtailmux.model.ModelException;
 import io.wagtailmux.model.OrganisationId;
+import io.wagtailmux.model.PoolId;
 import io.wagtailmux.model.StoreVersion;
 import io.wagtailmux.model.TimeSource;
 import io.wagtailmux.peer.wire.PingMessage;
+import io.wagtailmux.peer.wire.UsageConfirmationMessage;
 import io.wagtailmux.peer.wire.UsagePushMessage;
 
 /**
@@ -82,7 +87,7 @@
 
 	private final RowStore store;
 
-	private final DutyPeers peers;
+	private final DutySurroundings surroundings;
 
 	private final TrafficLoop traffic;
 
@@ -102,8 +107,14 @@
 
 	private final UsageReporting usage;
 
+	private final CapacityOrdering capacity;
+
 	private final UsagePush push;
 
+	private final Supplier<Map<PoolId, DemandSample>> demands;
+
+	private final FitnessForDuties fitness = new FitnessForDuties();
+
 	private Duration nextPush = Duration.ZERO;
 
 	private Optional<Duration> notFirstSince = Optional.empty();
@@ -112,7 +123,7 @@
 
 	private boolean stopping;
 
-	private volatile HeartbeatFacts heartbeatFacts = new HeartbeatFacts(FencingToken.NONE, Optional.empty());
+	private volatile HeartbeatFacts heartbeatFacts = new HeartbeatFacts(FencingToken.NONE, Optional.empty(), false);
 
 	/**
 	 * Creates the part of an instance that holds no duties yet.
@@ -121,20 +132,23 @@
 	 * @param settings the duties and their times
 	 * @param store the store that holds the lease and the reports
 	 * @param receiver the receiver of the holder's calls
-	 * @param peers the other instances
+	 * @param surroundings the other instances and the endpoints
+	 * @param demands returns this instance's demand for each pool; called on the traffic
+	 * thread
 	 * @param client sends counts to other instances
 	 * @param control the control thread
 	 * @param time the clocks
 	 * @param registry the registry that the metrics are added to
 	 */
 	public DutyControl(DutyCandidate self, long incarnation, DutySettings settings, RowStore store,
-			DutyReceiver receiver, DutyPeers peers, HttpClient client, ScheduledExecutorService control,
-			TimeSource time, MetricRegistry registry) {
+			DutyReceiver receiver, DutySurroundings surroundings, Supplier<Map<PoolId, DemandSample>> demands,
+			HttpClient client, ScheduledExecutorService control, TimeSource time, MetricRegistry registry) {
 		this.self = self;
 		this.holder = new DutyHolder(self.id(), incarnation);
 		this.settings = settings;
 		this.store = store;
-		this.peers = peers;
+		this.surroundings = surroundings;
+		this.demands = demands;
 		this.traffic = client.loop();
 		this.control = control;
 		this.time = time;
@@ -144,6 +158,7 @@
 		this.counter = new UsageCounter(settings.usage(), this.trueClock.trueLessElapsed(ClockReading.of(time)));
 		this.usage = new UsageReporting(self.id(), settings.usage(), this.collection, store, receiver, control, time,
 				this.metrics);
+		this.capacity = new CapacityOrdering(self.id(), receiver, control, time, this.metrics);
 		this.push = new UsagePush(this.holder, client);
 	}
 
@@ -151,8 +166,10 @@
 	 * Starts. May be called on any thread.
 	 */
 	public void start() {
-		this.store.onStoreTime((sentAt, receivedAt, storeTime) -> this.control
-			.execute(() -> this.trueClock.onStoreTime(sentAt, receivedAt, storeTime)));
+		this.store.onStoreTime((sentAt, receivedAt, storeTime) -> this.control.execute(() -> {
+			this.fitness.onStoreAnswer();
+			this.trueClock.onStoreTime(sentAt, receivedAt, storeTime);
+		}));
 		this.control.scheduleWithFixedDelay(this::runTick, TICK_INTERVAL.toMillis(), TICK_INTERVAL.toMillis(),
 				TimeUnit.MILLISECONDS);
 	}
@@ -188,6 +205,7 @@
 	public void addTo(PingMessage message) {
 		HeartbeatFacts facts = this.heartbeatFacts;
 		message.setDutyToken(facts.token().value());
+		message.setUnfitForDuties(facts.unfit());
 		facts.difference().ifPresent((difference) -> message.setWallLessStoreMilliseconds(difference.toMillis()));
 	}
 
@@ -196,31 +214,36 @@
 	 * @param message the message
 	 */
 	public void onHeartbeat(PingMessage message) {
+		InstanceId sender = new InstanceId(message.getSender().getInstance());
+		this.fitness.onStatement(sender, message.isUnfitForDuties(), this.time.elapsed());
 		if (message.isSetDutyToken()) {
 			this.lease.onTokenHeard(new FencingToken(message.getDutyToken()));
 		}
 		if (message.isSetWallLessStoreMilliseconds()) {
-			this.trueClock.onDifference(new InstanceId(message.getSender().getInstance()),
-					Duration.ofMillis(message.getWallLessStoreMilliseconds()), ClockReading.of(this.time));
+			this.trueClock.onDifference(sender, Duration.ofMillis(message.getWallLessStoreMilliseconds()),
+					ClockReading.of(this.time));
 		}
 	}
 
 	/**
 	 * Accepts counts of another instance. May be called on any thread.
 	 * @param message the counts
+	 * @return the confirmation
 	 */
-	public void onCounts(UsagePushMessage message) {
+	public UsageConfirmationMessage onCounts(UsagePushMessage message) {
 		this.control.execute(() -> {
 			try {
 				DutyHolder source = new DutyHolder(new InstanceId(message.getInstance()), message.getBoot());
 				message.getWindows()
 					.forEach((window) -> merge(source, window.getWindow(), DutyMessages.counts(window)));
 				this.collection.onCurrentWindow(source.instance(), message.getCurrentWindow());
+				DutyMessages.demands(message).forEach((pool, sample) -> this.capacity.onDemand(source, pool, sample));
 			}
 			catch (ModelException ex) {
 				LOG.atWarn().addKeyValue("why", ex.getMessage()).log("usage of an instance not decoded");
 			}
 		});
+		return new UsageConfirmationMessage(this.holder.incarnation()).setUnfit(this.heartbeatFacts.unfit());
 	}
 
 	private void merge(DutyHolder source, long window, Map<OrganisationId, Long> counts) {
@@ -242,19 +265,29 @@
 		this.traffic.execute("true time", () -> this.counter.adjust(offset));
 		if (now.elapsed().compareTo(this.nextPush) >= 0) {
 			this.nextPush = now.elapsed()
-				.plus(UsagePush.interval(this.peers.possiblyAlive().size() + 1, this.settings.usage()));
+				.plus(UsagePush.interval(this.surroundings.possiblyAlive().size() + 1, this.settings.usage()));
 			pushCounts();
 		}
 		advanceLease(now);
-		this.lease.permit(now).ifPresent((permit) -> this.usage.advance(permit, expected(), offset));
-		this.heartbeatFacts = new HeartbeatFacts(this.lease.highestKnown(), this.trueClock.difference(now));
+		this.lease.permit(now).ifPresent((permit) -> act(permit, offset));
+		this.heartbeatFacts = new HeartbeatFacts(this.lease.highestKnown(), this.trueClock.difference(now),
+				this.fitness.isUnfit());
 		this.metrics.update(this.lease.highestKnown().value(), this.lease.token().isPresent(),
 				this.lease.age(now).toMillis(), this.collection.openWindows());
 		logHolder(now);
 	}
 
+	private void act(DutyPermit permit, Duration trueLessElapsed) {
+		if (this.settings.duties().contains(Duty.USAGE)) {
+			this.usage.advance(permit, expected(), trueLessElapsed);
+		}
+		if (this.settings.duties().contains(Duty.CAPACITY)) {
+			this.capacity.advance(permit, this.surroundings.view());
+		}
+	}
+
 	private Set<InstanceId> expected() {
-		Set<InstanceId> expected = new HashSet<>(this.peers.possiblyAlive());
+		Set<InstanceId> expected = new HashSet<>(this.surroundings.possiblyAlive());
 		expected.add(this.self.id());
 		this.collection.retain(expected);
 		return expected;
@@ -262,16 +295,17 @@
 
 	private void pushCounts() {
 		this.traffic.execute("usage counts", () -> {
-			NavigableMap<Long, Map<OrganisationId, Long>> counts = this.counter.counts();
 			long current = this.counter.currentWindow(this.time.elapsed().minus(CLOCK_UNCERTAINTY));
-			this.control.execute(() -> push(counts, current));
+			OwnCounts counts = new OwnCounts(current, this.counter.counts(), this.demands.get());
+			this.control.execute(() -> push(counts));
 		});
 	}
 
-	private void push(NavigableMap<Long, Map<OrganisationId, Long>> counts, long current) {
-		counts.forEach((window, ofWindow) -> merge(this.holder, window, ofWindow));
-		this.collection.onCurrentWindow(this.self.id(), current);
-		List<InstancePeer> alive = this.peers.alive();
+	private void push(OwnCounts counts) {
+		counts.usage().forEach((window, ofWindow) -> merge(this.holder, window, ofWindow));
+		counts.demands().forEach((pool, sample) -> this.capacity.onDemand(this.holder, pool, sample));
+		this.collection.onCurrentWindow(this.self.id(), counts.currentWindow());
+		List<InstancePeer> alive = fitPeers();
 		List<InstanceId> collectors = DutyCandidate
 			.first(Stream.concat(Stream.of(this.self), alive.stream().map(InstancePeer::candidate)).toList(), RANKING,
 					COLLECTORS)
@@ -281,12 +315,21 @@
 		this.push.retain(collectors);
 		alive.stream()
 			.filter((peer) -> collectors.contains(peer.id()))
-			.forEach((peer) -> this.push.send(peer, current, counts,
-					(incarnation) -> this.control.execute(() -> this.push.confirm(peer.id(), incarnation, current))));
+			.forEach((peer) -> this.push.send(peer, counts,
+					(answer) -> this.control.execute(() -> onConfirmed(peer.id(), answer, counts.currentWindow()))));
+	}
+
+	private void onConfirmed(InstanceId instance, UsageConfirmationMessage answer, long current) {
+		this.push.confirm(instance, answer.getBoot(), current);
+		this.fitness.onStatement(instance, answer.isUnfit(), this.time.elapsed());
+	}
+
+	private List<InstancePeer> fitPeers() {
+		return this.fitness.fit(this.surroundings.alive(), this.time.elapsed());
 	}
 
 	private void advanceLease(ClockReading now) {
-		LeaseStep step = this.lease.next(now, wish(now.elapsed()), this.usage.isSending());
+		LeaseStep step = this.lease.next(now, wish(now.elapsed()), this.usage.isSending() || this.capacity.isSending());
 		if (step instanceof LeaseStep.Read) {
 			this.store.read(TABLE, LEASE_KEY).whenCompleteAsync(this::onLeaseRead, this.control);
 		}
@@ -306,11 +349,10 @@
 		if (this.stopping) {
 			return LeaseWish.RELEASE;
 		}
-		boolean first = this.peers.alive()
-			.stream()
+		boolean first = fitPeers().stream()
 			.map(InstancePeer::candidate)
 			.noneMatch((peer) -> this.self.yieldsTo(peer, RANKING));
-		if (first) {
+		if (first || this.fitness.isUnfit()) {
 			this.notFirstSince = Optional.empty();
 			return LeaseWish.TAKE;
 		}
@@ -324,6 +366,7 @@
 		ClockReading now = ClockReading.of(this.time);
 		if (failure != null) {
 			LOG.atWarn().addKeyValue("why", failure.getMessage()).log("could not read the lease of the duties");
+			this.fitness.onStoreFailure();
 			this.lease.onReadFailed(now);
 			return;
 		}
@@ -353,6 +396,9 @@
 			.addKeyValue("released", row.released())
 			.addKeyValue("why", failure.getMessage())
 			.log("could not write the lease of the duties");
+		if (!isConflict(failure)) {
+			this.fitness.onStoreFailure();
+		}
 		this.lease.onWriteFailed(isConflict(failure), now);
 	}
 
@@ -379,8 +425,9 @@
 	 *
 	 * @param token the largest token that is known
 	 * @param difference how far the own wall clock is ahead of the store's
+	 * @param unfit whether this instance should not hold duties
 	 */
-	private record HeartbeatFacts(FencingToken token, Optional<Duration> difference) {
+	private record HeartbeatFacts(FencingToken token, Optional<Duration> difference, boolean unfit) {
 
 	}
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/duty/DutyMessages.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/duty/DutyMessages.java
@@ -1,10 +1,12 @@
 package io.wagtailmux.engine.duty;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 
+import io.wagtailmux.decision.capacity.DemandSample;
 import io.wagtailmux.decision.duty.DutyHolder;
 import io.wagtailmux.decision.duty.DutyLeaseRow;
 import io.wagtailmux.decision.duty.FencingToken;
@@ -12,7 +14,10 @@
 import io.wagtailmux.engine.peer.ThriftCodec;
 import io.wagtailmux.model.InstanceId;
 import io.wagtailmux.model.OrganisationId;
+import io.wagtailmux.model.PoolId;
 import io.wagtailmux.peer.wire.DutyLeaseMessage;
+import io.wagtailmux.peer.wire.PoolDemandMessage;
+import io.wagtailmux.peer.wire.UsagePushMessage;
 import io.wagtailmux.peer.wire.WindowUsageMessage;
 
 /**
@@ -74,4 +79,22 @@
 		return counts;
 	}
 
+	static List<PoolDemandMessage> messages(Map<PoolId, DemandSample> demands) {
+		return demands.entrySet()
+			.stream()
+			.map((entry) -> new PoolDemandMessage(entry.getKey().value(), entry.getValue().busy(),
+					entry.getValue().arrivals(), entry.getValue().refused()))
+			.toList();
+	}
+
+	static Map<PoolId, DemandSample> demands(UsagePushMessage message) {
+		Map<PoolId, DemandSample> demands = new HashMap<>();
+		if (message.isSetDemands()) {
+			message.getDemands()
+				.forEach((demand) -> demands.put(new PoolId(demand.getPool()),
+						new DemandSample(demand.getBusy(), demand.getArrivals(), demand.getRefused())));
+		}
+		return demands;
+	}
+
 }
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/duty/DutyPeers.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/duty/DutySurroundings.java
@@ -4,14 +4,16 @@
 import java.util.Set;
 
 import io.wagtailmux.engine.state.InstancePeer;
+import io.wagtailmux.engine.state.ServingView;
 import io.wagtailmux.model.InstanceId;
 
 /**
- * The other instances, as far as duties depend on them. Used on the control thread.
+ * What duties depend on: the other instances, the configuration and the endpoints. Used
+ * on the control thread.
  *
  * @author the wagtailmux developers
  */
-public interface DutyPeers {
+public interface DutySurroundings {
 
 	/**
 	 * Returns the other instances that answer and are not stopping.
@@ -25,4 +27,10 @@
 	 */
 	Set<InstanceId> possiblyAlive();
 
+	/**
+	 * Returns the configuration, the endpoints and the evacuated zones.
+	 * @return the view that was published last
+	 */
+	ServingView view();
+
 }
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/duty/UsagePush.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/duty/UsagePush.java
@@ -4,8 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.NavigableMap;
-import java.util.function.LongConsumer;
+import java.util.function.Consumer;
 
 import io.netty.handler.codec.http.HttpMethod;
 import org.slf4j.Logger;
@@ -21,7 +20,6 @@
 import io.wagtailmux.engine.peer.ThriftCodec;
 import io.wagtailmux.engine.state.InstancePeer;
 import io.wagtailmux.model.InstanceId;
-import io.wagtailmux.model.OrganisationId;
 import io.wagtailmux.peer.wire.UsageConfirmationMessage;
 import io.wagtailmux.peer.wire.UsagePushMessage;
 import io.wagtailmux.peer.wire.WindowUsageMessage;
@@ -72,26 +70,25 @@
 	/**
 	 * Sends the counts that an instance has not confirmed.
 	 * @param target the instance
-	 * @param currentWindow the window that this instance counts in
-	 * @param counts the counts of the newest windows
-	 * @param onConfirmed called on the traffic thread with the incarnation of the target
-	 * that has them
+	 * @param counts the counts
+	 * @param onConfirmed called on the traffic thread when the target has them
 	 */
-	void send(InstancePeer target, long currentWindow, NavigableMap<Long, Map<OrganisationId, Long>> counts,
-			LongConsumer onConfirmed) {
-		List<WindowUsageMessage> windows = counts.tailMap(firstUnconfirmed(target.id()))
+	void send(InstancePeer target, OwnCounts counts, Consumer<UsageConfirmationMessage> onConfirmed) {
+		List<WindowUsageMessage> windows = counts.usage()
+			.tailMap(firstUnconfirmed(target.id()))
 			.entrySet()
 			.stream()
 			.map((entry) -> DutyMessages.window(entry.getKey(), entry.getValue()))
 			.toList();
 		UsagePushMessage message = new UsagePushMessage(this.self.instance().value(), this.self.incarnation(),
-				currentWindow, windows);
+				counts.currentWindow(), windows);
+		message.setDemands(DutyMessages.messages(counts.demands()));
 		OutgoingRequest request = OutgoingRequest.of(HttpMethod.POST, PeerPath.USAGE.path())
 			.body(ThriftCodec.encode(message))
 			.timeout(TIMEOUT)
 			.build();
 		PeerResponseListener listener = new PeerResponseListener(
-				(body) -> onConfirmed.accept(ThriftCodec.decode(body, new UsageConfirmationMessage()).getBoot()),
+				(body) -> onConfirmed.accept(ThriftCodec.decode(body, new UsageConfirmationMessage())),
 				// The counts are cumulative and sent again with the next message.
 				(why) -> LOG.atDebug()
 					.addKeyValue("target", target.id())
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
@@ -255,6 +255,7 @@
 			return;
 		}
 		this.pool = found.get();
+		this.pool.demand().recordArrival();
 		this.suspects = new RequestSuspects(this.pool, stagePools(), this.context.crashWatch(), this.fingerprint,
 				this.request.generation().sharedPartIds());
 		if (refusedAsHarmful()) {
@@ -269,6 +270,7 @@
 		ChainPlan plan = this.planner.plan();
 		Optional<Duration> retryAfter = this.context.admission().evaluate(plan.expectedFinish(), remainingTime());
 		if (retryAfter.isPresent()) {
+			this.pool.demand().recordRefusal();
 			rejectRetryable(RejectionCode.OVERLOADED, retryAfter.get(), "answer expected in "
 					+ plan.expectedFinish().toMillis() + " ms, milliseconds remaining: " + remainingTime().toMillis());
 			return;
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
@@ -123,6 +123,7 @@
 		load().onCallStarted(uncachedTokens);
 		this.pendingPrefillTokens = uncachedTokens;
 		this.counted = true;
+		this.exchange.pool().demand().changeBusy(1);
 		boolean repeatable = this.exchange.route().repeatable();
 		OutgoingRequest request = OutgoingRequest.of(this.exchange.head().method(), this.exchange.head().uri())
 			.headers(this.context.endpoints()
@@ -444,6 +445,7 @@
 		if (this.counted) {
 			onPrefillEnded();
 			load().onCallEnded();
+			this.exchange.pool().demand().changeBusy(-1);
 		}
 	}
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PeerHandler.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PeerHandler.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
-import java.util.function.ToLongFunction;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -55,7 +55,7 @@
 
 	private final Consumer<PingMessage> onEvidence;
 
-	private final ToLongFunction<UsagePushMessage> onUsage;
+	private final Function<UsagePushMessage, UsageConfirmationMessage> onUsage;
 
 	private final UnexpectedErrors errors;
 
@@ -69,13 +69,12 @@
 	 * @param knownTables returns what this instance knows of the store's tables; called
 	 * on the traffic thread
 	 * @param onEvidence receives what another instance has just learned
-	 * @param onUsage receives the counts of another instance and returns the incarnation
-	 * of this one
+	 * @param onUsage receives the counts of another instance and confirms them
 	 * @param errors records errors that no code expects
 	 */
 	public PeerHandler(LocalPieceService pieceService, Supplier<PingMessage> pingMessage,
 			Supplier<CompletableFuture<KnownTablesMessage>> knownTables, Consumer<PingMessage> onEvidence,
-			ToLongFunction<UsagePushMessage> onUsage, UnexpectedErrors errors) {
+			Function<UsagePushMessage, UsageConfirmationMessage> onUsage, UnexpectedErrors errors) {
 		this.errors = errors;
 		this.pieceService = pieceService;
 		this.pingMessage = pingMessage;
@@ -117,8 +116,8 @@
 			write(context, HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER);
 		}
 		else if (path.equals(PeerPath.USAGE.path())) {
-			long incarnation = this.onUsage.applyAsLong(ThriftCodec.decode(request.content(), new UsagePushMessage()));
-			write(context, HttpResponseStatus.OK, ThriftCodec.encode(new UsageConfirmationMessage(incarnation)));
+			UsagePushMessage message = ThriftCodec.decode(request.content(), new UsagePushMessage());
+			write(context, HttpResponseStatus.OK, ThriftCodec.encode(this.onUsage.apply(message)));
 		}
 		else if (path.equals(PeerPath.FACTS.path())) {
 			this.knownTables.get()
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/port/DutyReceiver.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/port/DutyReceiver.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 
-import io.wagtailmux.decision.duty.CapacityOrder;
+import io.wagtailmux.decision.capacity.CapacityOrder;
 import io.wagtailmux.decision.duty.UsageReport;
 
 /**
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/PoolTraffic.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/PoolTraffic.java
@@ -13,6 +13,7 @@
 
 import io.wagtailmux.decision.RendezvousHash;
 import io.wagtailmux.decision.availability.EndpointAvailabilities;
+import io.wagtailmux.decision.capacity.DemandCounter;
 import io.wagtailmux.decision.ownership.PoolShard;
 import io.wagtailmux.decision.ownership.PoolShards;
 import io.wagtailmux.decision.placement.EndpointLoad;
@@ -71,6 +72,8 @@
 
 	private final NamedLimitShares namedLimits;
 
+	private final DemandCounter demand = new DemandCounter();
+
 	private Set<VersionId> versions = Set.of();
 
 	PoolTraffic(InstanceId self, SharedLimits limits, ServingPool pool, PoisonListener poisonListener) {
@@ -98,6 +101,14 @@
 		return this.retryBudget;
 	}
 
+	/**
+	 * Returns the counter of this instance's demand for the pool.
+	 * @return the counter
+	 */
+	public DemandCounter demand() {
+		return this.demand;
+	}
+
 	/**
 	 * Returns what is known of prompt parts that crash the pool's endpoints.
 	 * @return the detector; without evidence if the endpoints are not model engines
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/ServingState.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/ServingState.java
@@ -12,6 +12,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
+import io.wagtailmux.decision.capacity.DemandSample;
 import io.wagtailmux.decision.ownership.DutyCandidate;
 import io.wagtailmux.decision.poison.PoisonListener;
 import io.wagtailmux.decision.poison.Refusal;
@@ -85,6 +86,20 @@
 				byPool.getOrDefault(id, List.of()), next, now));
 	}
 
+	/**
+	 * Returns this instance's demand for the pools whose endpoints can be ordered.
+	 * @return the demand by pool
+	 */
+	public Map<PoolId, DemandSample> demands() {
+		Map<PoolId, DemandSample> demands = new HashMap<>();
+		this.pools.forEach((id, traffic) -> {
+			if (traffic.pool().range().isPresent()) {
+				demands.put(id, traffic.demand().sample());
+			}
+		});
+		return demands;
+	}
+
 	/**
 	 * Adopts a refusal of prompt parts that was read from the store or another instance.
 	 * @param pool the pool, which may become known later
--- a/wagtailmux-engine/src/test/java/io/wagtailmux/engine/state/ServingStateTests.java
+++ b/wagtailmux-engine/src/test/java/io/wagtailmux/engine/state/ServingStateTests.java
@@ -61,7 +61,7 @@
 
 	private static ServingView view(long version, boolean named, boolean draining) {
 		ServingPool pool = new ServingPool(POOL, "/health", 64, new ColdLimit(Duration.ZERO, OptionalDouble.empty()),
-				Optional.empty(), Optional.empty());
+				Optional.empty(), Optional.empty(), Optional.empty());
 		ServingConfiguration configuration = new ServingConfiguration(version, List.of(),
 				named ? Map.of(POOL, pool) : Map.of(),
 				new CallerLimits(8192, 65_536, Duration.ofSeconds(1), Duration.ofSeconds(1)), Optional.empty());
--- a/wagtailmux-model/src/main/java/io/wagtailmux/model/TimeSource.java
+++ b/wagtailmux-model/src/main/java/io/wagtailmux/model/TimeSource.java
@@ -28,6 +28,15 @@
 	 */
 	Instant instant();
 
+	/**
+	 * Returns the wall clock time as a duration, for code that compares it with the
+	 * elapsed time.
+	 * @return the time since the start of 1970, which may go back
+	 */
+	default Duration sinceEpoch() {
+		return Duration.between(Instant.EPOCH, instant());
+	}
+
 	/**
 	 * Returns the time source that reads the clocks of this process.
 	 * @return the system's time source, safe for use by several threads
--- a/wagtailmux-model/src/main/java/io/wagtailmux/model/serving/ServingPool.java
+++ b/wagtailmux-model/src/main/java/io/wagtailmux/model/serving/ServingPool.java
@@ -14,9 +14,10 @@
  * @param cold the rate limit of an endpoint that has recently started
  * @param engine the capacity of each endpoint; empty if they are not model engines
  * @param batch the capacity of each endpoint for batches; empty if they do not run stages
+ * @param range how many endpoints may be ordered; empty if none are ordered
  * @author the wagtailmux developers
  */
 public record ServingPool(PoolId id, String healthPath, int connectionLimit, ColdLimit cold,
-		Optional<EngineCapacity> engine, Optional<BatchCapacity> batch) {
+		Optional<EngineCapacity> engine, Optional<BatchCapacity> batch, Optional<CapacityRange> range) {
 
 }
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/KnownRowMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/KnownRowMessage.java
@@ -759,14 +759,14 @@
           case 3: // EARLIER
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list156 = iprot.readListBegin();
-                struct.earlier = new java.util.ArrayList<RowContentMessage>(_list156.size);
-                @org.apache.thrift.annotation.Nullable RowContentMessage _elem157;
-                for (int _i158 = 0; _i158 < _list156.size; ++_i158)
+                org.apache.thrift.protocol.TList _list164 = iprot.readListBegin();
+                struct.earlier = new java.util.ArrayList<RowContentMessage>(_list164.size);
+                @org.apache.thrift.annotation.Nullable RowContentMessage _elem165;
+                for (int _i166 = 0; _i166 < _list164.size; ++_i166)
                 {
-                  _elem157 = new RowContentMessage();
-                  _elem157.read(iprot);
-                  struct.earlier.add(_elem157);
+                  _elem165 = new RowContentMessage();
+                  _elem165.read(iprot);
+                  struct.earlier.add(_elem165);
                 }
                 iprot.readListEnd();
               }
@@ -840,9 +840,9 @@
         oprot.writeFieldBegin(EARLIER_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.earlier.size()));
-          for (RowContentMessage _iter159 : struct.earlier)
+          for (RowContentMessage _iter167 : struct.earlier)
           {
-            _iter159.write(oprot);
+            _iter167.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -878,9 +878,9 @@
       oprot.writeString(struct.key);
       {
         oprot.writeI32(struct.earlier.size());
-        for (RowContentMessage _iter160 : struct.earlier)
+        for (RowContentMessage _iter168 : struct.earlier)
         {
-          _iter160.write(oprot);
+          _iter168.write(oprot);
         }
       }
       oprot.writeI64(struct.number);
@@ -902,14 +902,14 @@
       struct.key = iprot.readString();
       struct.setKeyIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list161 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.earlier = new java.util.ArrayList<RowContentMessage>(_list161.size);
-        @org.apache.thrift.annotation.Nullable RowContentMessage _elem162;
-        for (int _i163 = 0; _i163 < _list161.size; ++_i163)
+        org.apache.thrift.protocol.TList _list169 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.earlier = new java.util.ArrayList<RowContentMessage>(_list169.size);
+        @org.apache.thrift.annotation.Nullable RowContentMessage _elem170;
+        for (int _i171 = 0; _i171 < _list169.size; ++_i171)
         {
-          _elem162 = new RowContentMessage();
-          _elem162.read(iprot);
-          struct.earlier.add(_elem162);
+          _elem170 = new RowContentMessage();
+          _elem170.read(iprot);
+          struct.earlier.add(_elem170);
         }
       }
       struct.setEarlierIsSet(true);
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/KnownTableMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/KnownTableMessage.java
@@ -520,14 +520,14 @@
           case 3: // ROWS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list164 = iprot.readListBegin();
-                struct.rows = new java.util.ArrayList<KnownRowMessage>(_list164.size);
-                @org.apache.thrift.annotation.Nullable KnownRowMessage _elem165;
-                for (int _i166 = 0; _i166 < _list164.size; ++_i166)
+                org.apache.thrift.protocol.TList _list172 = iprot.readListBegin();
+                struct.rows = new java.util.ArrayList<KnownRowMessage>(_list172.size);
+                @org.apache.thrift.annotation.Nullable KnownRowMessage _elem173;
+                for (int _i174 = 0; _i174 < _list172.size; ++_i174)
                 {
-                  _elem165 = new KnownRowMessage();
-                  _elem165.read(iprot);
-                  struct.rows.add(_elem165);
+                  _elem173 = new KnownRowMessage();
+                  _elem173.read(iprot);
+                  struct.rows.add(_elem173);
                 }
                 iprot.readListEnd();
               }
@@ -567,9 +567,9 @@
         oprot.writeFieldBegin(ROWS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.rows.size()));
-          for (KnownRowMessage _iter167 : struct.rows)
+          for (KnownRowMessage _iter175 : struct.rows)
           {
-            _iter167.write(oprot);
+            _iter175.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -597,9 +597,9 @@
       oprot.writeI64(struct.era);
       {
         oprot.writeI32(struct.rows.size());
-        for (KnownRowMessage _iter168 : struct.rows)
+        for (KnownRowMessage _iter176 : struct.rows)
         {
-          _iter168.write(oprot);
+          _iter176.write(oprot);
         }
       }
     }
@@ -612,14 +612,14 @@
       struct.era = iprot.readI64();
       struct.setEraIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list169 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.rows = new java.util.ArrayList<KnownRowMessage>(_list169.size);
-        @org.apache.thrift.annotation.Nullable KnownRowMessage _elem170;
-        for (int _i171 = 0; _i171 < _list169.size; ++_i171)
+        org.apache.thrift.protocol.TList _list177 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.rows = new java.util.ArrayList<KnownRowMessage>(_list177.size);
+        @org.apache.thrift.annotation.Nullable KnownRowMessage _elem178;
+        for (int _i179 = 0; _i179 < _list177.size; ++_i179)
         {
-          _elem170 = new KnownRowMessage();
-          _elem170.read(iprot);
-          struct.rows.add(_elem170);
+          _elem178 = new KnownRowMessage();
+          _elem178.read(iprot);
+          struct.rows.add(_elem178);
         }
       }
       struct.setRowsIsSet(true);
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/KnownTablesMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/KnownTablesMessage.java
@@ -339,14 +339,14 @@
           case 1: // TABLES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list172 = iprot.readListBegin();
-                struct.tables = new java.util.ArrayList<KnownTableMessage>(_list172.size);
-                @org.apache.thrift.annotation.Nullable KnownTableMessage _elem173;
-                for (int _i174 = 0; _i174 < _list172.size; ++_i174)
+                org.apache.thrift.protocol.TList _list180 = iprot.readListBegin();
+                struct.tables = new java.util.ArrayList<KnownTableMessage>(_list180.size);
+                @org.apache.thrift.annotation.Nullable KnownTableMessage _elem181;
+                for (int _i182 = 0; _i182 < _list180.size; ++_i182)
                 {
-                  _elem173 = new KnownTableMessage();
-                  _elem173.read(iprot);
-                  struct.tables.add(_elem173);
+                  _elem181 = new KnownTableMessage();
+                  _elem181.read(iprot);
+                  struct.tables.add(_elem181);
                 }
                 iprot.readListEnd();
               }
@@ -375,9 +375,9 @@
         oprot.writeFieldBegin(TABLES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.tables.size()));
-          for (KnownTableMessage _iter175 : struct.tables)
+          for (KnownTableMessage _iter183 : struct.tables)
           {
-            _iter175.write(oprot);
+            _iter183.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -403,9 +403,9 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
         oprot.writeI32(struct.tables.size());
-        for (KnownTableMessage _iter176 : struct.tables)
+        for (KnownTableMessage _iter184 : struct.tables)
         {
-          _iter176.write(oprot);
+          _iter184.write(oprot);
         }
       }
     }
@@ -414,14 +414,14 @@
     public void read(org.apache.thrift.protocol.TProtocol prot, KnownTablesMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        org.apache.thrift.protocol.TList _list177 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.tables = new java.util.ArrayList<KnownTableMessage>(_list177.size);
-        @org.apache.thrift.annotation.Nullable KnownTableMessage _elem178;
-        for (int _i179 = 0; _i179 < _list177.size; ++_i179)
+        org.apache.thrift.protocol.TList _list185 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.tables = new java.util.ArrayList<KnownTableMessage>(_list185.size);
+        @org.apache.thrift.annotation.Nullable KnownTableMessage _elem186;
+        for (int _i187 = 0; _i187 < _list185.size; ++_i187)
         {
-          _elem178 = new KnownTableMessage();
-          _elem178.read(iprot);
-          struct.tables.add(_elem178);
+          _elem186 = new KnownTableMessage();
+          _elem186.read(iprot);
+          struct.tables.add(_elem186);
         }
       }
       struct.setTablesIsSet(true);
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/PingMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/PingMessage.java
@@ -18,6 +18,7 @@
   private static final org.apache.thrift.protocol.TField LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("limits", org.apache.thrift.protocol.TType.LIST, (short)6);
   private static final org.apache.thrift.protocol.TField DUTY_TOKEN_FIELD_DESC = new org.apache.thrift.protocol.TField("dutyToken", org.apache.thrift.protocol.TType.I64, (short)7);
   private static final org.apache.thrift.protocol.TField WALL_LESS_STORE_MILLISECONDS_FIELD_DESC = new org.apache.thrift.protocol.TField("wallLessStoreMilliseconds", org.apache.thrift.protocol.TType.I64, (short)8);
+  private static final org.apache.thrift.protocol.TField UNFIT_FOR_DUTIES_FIELD_DESC = new org.apache.thrift.protocol.TField("unfitForDuties", org.apache.thrift.protocol.TType.BOOL, (short)9);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PingMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PingMessageTupleSchemeFactory();
@@ -30,6 +31,7 @@
   public @org.apache.thrift.annotation.Nullable java.util.List<PoolLimitsMessage> limits; // optional
   public long dutyToken; // optional
   public long wallLessStoreMilliseconds; // optional
+  public boolean unfitForDuties; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -40,7 +42,8 @@
     POISON((short)5, "poison"),
     LIMITS((short)6, "limits"),
     DUTY_TOKEN((short)7, "dutyToken"),
-    WALL_LESS_STORE_MILLISECONDS((short)8, "wallLessStoreMilliseconds");
+    WALL_LESS_STORE_MILLISECONDS((short)8, "wallLessStoreMilliseconds"),
+    UNFIT_FOR_DUTIES((short)9, "unfitForDuties");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -72,6 +75,8 @@
           return DUTY_TOKEN;
         case 8: // WALL_LESS_STORE_MILLISECONDS
           return WALL_LESS_STORE_MILLISECONDS;
+        case 9: // UNFIT_FOR_DUTIES
+          return UNFIT_FOR_DUTIES;
         default:
           return null;
       }
@@ -119,8 +124,9 @@
   private static final int __LEAVING_ISSET_ID = 1;
   private static final int __DUTYTOKEN_ISSET_ID = 2;
   private static final int __WALLLESSSTOREMILLISECONDS_ISSET_ID = 3;
+  private static final int __UNFITFORDUTIES_ISSET_ID = 4;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.TRIALS,_Fields.POISON,_Fields.LIMITS,_Fields.DUTY_TOKEN,_Fields.WALL_LESS_STORE_MILLISECONDS};
+  private static final _Fields optionals[] = {_Fields.TRIALS,_Fields.POISON,_Fields.LIMITS,_Fields.DUTY_TOKEN,_Fields.WALL_LESS_STORE_MILLISECONDS,_Fields.UNFIT_FOR_DUTIES};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -143,6 +149,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.WALL_LESS_STORE_MILLISECONDS, new org.apache.thrift.meta_data.FieldMetaData("wallLessStoreMilliseconds", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.UNFIT_FOR_DUTIES, new org.apache.thrift.meta_data.FieldMetaData("unfitForDuties", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PingMessage.class, metaDataMap);
   }
@@ -196,6 +204,7 @@
     }
     this.dutyToken = other.dutyToken;
     this.wallLessStoreMilliseconds = other.wallLessStoreMilliseconds;
+    this.unfitForDuties = other.unfitForDuties;
   }
 
   @Override
@@ -217,6 +226,8 @@
     this.dutyToken = 0;
     setWallLessStoreMillisecondsIsSet(false);
     this.wallLessStoreMilliseconds = 0;
+    setUnfitForDutiesIsSet(false);
+    this.unfitForDuties = false;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -459,6 +470,29 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WALLLESSSTOREMILLISECONDS_ISSET_ID, value);
   }
 
+  public boolean isUnfitForDuties() {
+    return this.unfitForDuties;
+  }
+
+  public PingMessage setUnfitForDuties(boolean unfitForDuties) {
+    this.unfitForDuties = unfitForDuties;
+    setUnfitForDutiesIsSet(true);
+    return this;
+  }
+
+  public void unsetUnfitForDuties() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __UNFITFORDUTIES_ISSET_ID);
+  }
+
+  /** Returns true if field unfitForDuties is set (has been assigned a value) and false otherwise */
+  public boolean isSetUnfitForDuties() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __UNFITFORDUTIES_ISSET_ID);
+  }
+
+  public void setUnfitForDutiesIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __UNFITFORDUTIES_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -526,6 +560,14 @@
       }
       break;
 
+    case UNFIT_FOR_DUTIES:
+      if (value == null) {
+        unsetUnfitForDuties();
+      } else {
+        setUnfitForDuties((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -557,6 +599,9 @@
     case WALL_LESS_STORE_MILLISECONDS:
       return getWallLessStoreMilliseconds();
 
+    case UNFIT_FOR_DUTIES:
+      return isUnfitForDuties();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -585,6 +630,8 @@
       return isSetDutyToken();
     case WALL_LESS_STORE_MILLISECONDS:
       return isSetWallLessStoreMilliseconds();
+    case UNFIT_FOR_DUTIES:
+      return isSetUnfitForDuties();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -674,6 +721,15 @@
         return false;
     }
 
+    boolean this_present_unfitForDuties = true && this.isSetUnfitForDuties();
+    boolean that_present_unfitForDuties = true && that.isSetUnfitForDuties();
+    if (this_present_unfitForDuties || that_present_unfitForDuties) {
+      if (!(this_present_unfitForDuties && that_present_unfitForDuties))
+        return false;
+      if (this.unfitForDuties != that.unfitForDuties)
+        return false;
+    }
+
     return true;
   }
 
@@ -709,6 +765,10 @@
     if (isSetWallLessStoreMilliseconds())
       hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(wallLessStoreMilliseconds);
 
+    hashCode = hashCode * 8191 + ((isSetUnfitForDuties()) ? 131071 : 524287);
+    if (isSetUnfitForDuties())
+      hashCode = hashCode * 8191 + ((unfitForDuties) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -800,6 +860,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetUnfitForDuties(), other.isSetUnfitForDuties());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetUnfitForDuties()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.unfitForDuties, other.unfitForDuties);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -881,6 +951,12 @@
       sb.append(this.wallLessStoreMilliseconds);
       first = false;
     }
+    if (isSetUnfitForDuties()) {
+      if (!first) sb.append(", ");
+      sb.append("unfitForDuties:");
+      sb.append(this.unfitForDuties);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -964,14 +1040,14 @@
           case 4: // TRIALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list124 = iprot.readListBegin();
-                struct.trials = new java.util.ArrayList<TrialReportMessage>(_list124.size);
-                @org.apache.thrift.annotation.Nullable TrialReportMessage _elem125;
-                for (int _i126 = 0; _i126 < _list124.size; ++_i126)
+                org.apache.thrift.protocol.TList _list132 = iprot.readListBegin();
+                struct.trials = new java.util.ArrayList<TrialReportMessage>(_list132.size);
+                @org.apache.thrift.annotation.Nullable TrialReportMessage _elem133;
+                for (int _i134 = 0; _i134 < _list132.size; ++_i134)
                 {
-                  _elem125 = new TrialReportMessage();
-                  _elem125.read(iprot);
-                  struct.trials.add(_elem125);
+                  _elem133 = new TrialReportMessage();
+                  _elem133.read(iprot);
+                  struct.trials.add(_elem133);
                 }
                 iprot.readListEnd();
               }
@@ -983,14 +1059,14 @@
           case 5: // POISON
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list127 = iprot.readListBegin();
-                struct.poison = new java.util.ArrayList<PoisonEvidenceMessage>(_list127.size);
-                @org.apache.thrift.annotation.Nullable PoisonEvidenceMessage _elem128;
-                for (int _i129 = 0; _i129 < _list127.size; ++_i129)
+                org.apache.thrift.protocol.TList _list135 = iprot.readListBegin();
+                struct.poison = new java.util.ArrayList<PoisonEvidenceMessage>(_list135.size);
+                @org.apache.thrift.annotation.Nullable PoisonEvidenceMessage _elem136;
+                for (int _i137 = 0; _i137 < _list135.size; ++_i137)
                 {
-                  _elem128 = new PoisonEvidenceMessage();
-                  _elem128.read(iprot);
-                  struct.poison.add(_elem128);
+                  _elem136 = new PoisonEvidenceMessage();
+                  _elem136.read(iprot);
+                  struct.poison.add(_elem136);
                 }
                 iprot.readListEnd();
               }
@@ -1002,14 +1078,14 @@
           case 6: // LIMITS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list130 = iprot.readListBegin();
-                struct.limits = new java.util.ArrayList<PoolLimitsMessage>(_list130.size);
-                @org.apache.thrift.annotation.Nullable PoolLimitsMessage _elem131;
-                for (int _i132 = 0; _i132 < _list130.size; ++_i132)
+                org.apache.thrift.protocol.TList _list138 = iprot.readListBegin();
+                struct.limits = new java.util.ArrayList<PoolLimitsMessage>(_list138.size);
+                @org.apache.thrift.annotation.Nullable PoolLimitsMessage _elem139;
+                for (int _i140 = 0; _i140 < _list138.size; ++_i140)
                 {
-                  _elem131 = new PoolLimitsMessage();
-                  _elem131.read(iprot);
-                  struct.limits.add(_elem131);
+                  _elem139 = new PoolLimitsMessage();
+                  _elem139.read(iprot);
+                  struct.limits.add(_elem139);
                 }
                 iprot.readListEnd();
               }
@@ -1034,6 +1110,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 9: // UNFIT_FOR_DUTIES
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.unfitForDuties = iprot.readBool();
+              struct.setUnfitForDutiesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1072,9 +1156,9 @@
           oprot.writeFieldBegin(TRIALS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.trials.size()));
-            for (TrialReportMessage _iter133 : struct.trials)
+            for (TrialReportMessage _iter141 : struct.trials)
             {
-              _iter133.write(oprot);
+              _iter141.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1086,9 +1170,9 @@
           oprot.writeFieldBegin(POISON_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.poison.size()));
-            for (PoisonEvidenceMessage _iter134 : struct.poison)
+            for (PoisonEvidenceMessage _iter142 : struct.poison)
             {
-              _iter134.write(oprot);
+              _iter142.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1100,9 +1184,9 @@
           oprot.writeFieldBegin(LIMITS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.limits.size()));
-            for (PoolLimitsMessage _iter135 : struct.limits)
+            for (PoolLimitsMessage _iter143 : struct.limits)
             {
-              _iter135.write(oprot);
+              _iter143.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1119,6 +1203,11 @@
         oprot.writeI64(struct.wallLessStoreMilliseconds);
         oprot.writeFieldEnd();
       }
+      if (struct.isSetUnfitForDuties()) {
+        oprot.writeFieldBegin(UNFIT_FOR_DUTIES_FIELD_DESC);
+        oprot.writeBool(struct.unfitForDuties);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1156,31 +1245,34 @@
       if (struct.isSetWallLessStoreMilliseconds()) {
         optionals.set(4);
       }
-      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetUnfitForDuties()) {
+        optionals.set(5);
+      }
+      oprot.writeBitSet(optionals, 6);
       if (struct.isSetTrials()) {
         {
           oprot.writeI32(struct.trials.size());
-          for (TrialReportMessage _iter136 : struct.trials)
+          for (TrialReportMessage _iter144 : struct.trials)
           {
-            _iter136.write(oprot);
+            _iter144.write(oprot);
           }
         }
       }
       if (struct.isSetPoison()) {
         {
           oprot.writeI32(struct.poison.size());
-          for (PoisonEvidenceMessage _iter137 : struct.poison)
+          for (PoisonEvidenceMessage _iter145 : struct.poison)
           {
-            _iter137.write(oprot);
+            _iter145.write(oprot);
           }
         }
       }
       if (struct.isSetLimits()) {
         {
           oprot.writeI32(struct.limits.size());
-          for (PoolLimitsMessage _iter138 : struct.limits)
+          for (PoolLimitsMessage _iter146 : struct.limits)
           {
-            _iter138.write(oprot);
+            _iter146.write(oprot);
           }
         }
       }
@@ -1190,6 +1282,9 @@
       if (struct.isSetWallLessStoreMilliseconds()) {
         oprot.writeI64(struct.wallLessStoreMilliseconds);
       }
+      if (struct.isSetUnfitForDuties()) {
+        oprot.writeBool(struct.unfitForDuties);
+      }
     }
 
     @Override
@@ -1202,45 +1297,45 @@
       struct.setConfigurationVersionIsSet(true);
       struct.leaving = iprot.readBool();
       struct.setLeavingIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(5);
+      java.util.BitSet incoming = iprot.readBitSet(6);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list139 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.trials = new java.util.ArrayList<TrialReportMessage>(_list139.size);
-          @org.apache.thrift.annotation.Nullable TrialReportMessage _elem140;
-          for (int _i141 = 0; _i141 < _list139.size; ++_i141)
+          org.apache.thrift.protocol.TList _list147 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.trials = new java.util.ArrayList<TrialReportMessage>(_list147.size);
+          @org.apache.thrift.annotation.Nullable TrialReportMessage _elem148;
+          for (int _i149 = 0; _i149 < _list147.size; ++_i149)
           {
-            _elem140 = new TrialReportMessage();
-            _elem140.read(iprot);
-            struct.trials.add(_elem140);
+            _elem148 = new TrialReportMessage();
+            _elem148.read(iprot);
+            struct.trials.add(_elem148);
           }
         }
         struct.setTrialsIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list142 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.poison = new java.util.ArrayList<PoisonEvidenceMessage>(_list142.size);
-          @org.apache.thrift.annotation.Nullable PoisonEvidenceMessage _elem143;
-          for (int _i144 = 0; _i144 < _list142.size; ++_i144)
+          org.apache.thrift.protocol.TList _list150 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.poison = new java.util.ArrayList<PoisonEvidenceMessage>(_list150.size);
+          @org.apache.thrift.annotation.Nullable PoisonEvidenceMessage _elem151;
+          for (int _i152 = 0; _i152 < _list150.size; ++_i152)
           {
-            _elem143 = new PoisonEvidenceMessage();
-            _elem143.read(iprot);
-            struct.poison.add(_elem143);
+            _elem151 = new PoisonEvidenceMessage();
+            _elem151.read(iprot);
+            struct.poison.add(_elem151);
           }
         }
         struct.setPoisonIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list145 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.limits = new java.util.ArrayList<PoolLimitsMessage>(_list145.size);
-          @org.apache.thrift.annotation.Nullable PoolLimitsMessage _elem146;
-          for (int _i147 = 0; _i147 < _list145.size; ++_i147)
+          org.apache.thrift.protocol.TList _list153 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.limits = new java.util.ArrayList<PoolLimitsMessage>(_list153.size);
+          @org.apache.thrift.annotation.Nullable PoolLimitsMessage _elem154;
+          for (int _i155 = 0; _i155 < _list153.size; ++_i155)
           {
-            _elem146 = new PoolLimitsMessage();
-            _elem146.read(iprot);
-            struct.limits.add(_elem146);
+            _elem154 = new PoolLimitsMessage();
+            _elem154.read(iprot);
+            struct.limits.add(_elem154);
           }
         }
         struct.setLimitsIsSet(true);
@@ -1253,6 +1348,10 @@
         struct.wallLessStoreMilliseconds = iprot.readI64();
         struct.setWallLessStoreMillisecondsIsSet(true);
       }
+      if (incoming.get(5)) {
+        struct.unfitForDuties = iprot.readBool();
+        struct.setUnfitForDutiesIsSet(true);
+      }
     }
   }
 
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/RowContentMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/RowContentMessage.java
@@ -442,13 +442,13 @@
           case 2: // NUMBERS
             if (schemeField.type == org.apache.thrift.protocol.TType.SET) {
               {
-                org.apache.thrift.protocol.TSet _set148 = iprot.readSetBegin();
-                struct.numbers = new java.util.HashSet<java.lang.Long>(2*_set148.size);
-                long _elem149;
-                for (int _i150 = 0; _i150 < _set148.size; ++_i150)
+                org.apache.thrift.protocol.TSet _set156 = iprot.readSetBegin();
+                struct.numbers = new java.util.HashSet<java.lang.Long>(2*_set156.size);
+                long _elem157;
+                for (int _i158 = 0; _i158 < _set156.size; ++_i158)
                 {
-                  _elem149 = iprot.readI64();
-                  struct.numbers.add(_elem149);
+                  _elem157 = iprot.readI64();
+                  struct.numbers.add(_elem157);
                 }
                 iprot.readSetEnd();
               }
@@ -482,9 +482,9 @@
         oprot.writeFieldBegin(NUMBERS_FIELD_DESC);
         {
           oprot.writeSetBegin(new org.apache.thrift.protocol.TSet(org.apache.thrift.protocol.TType.I64, struct.numbers.size()));
-          for (long _iter151 : struct.numbers)
+          for (long _iter159 : struct.numbers)
           {
-            oprot.writeI64(_iter151);
+            oprot.writeI64(_iter159);
           }
           oprot.writeSetEnd();
         }
@@ -511,9 +511,9 @@
       oprot.writeBinary(struct.value);
       {
         oprot.writeI32(struct.numbers.size());
-        for (long _iter152 : struct.numbers)
+        for (long _iter160 : struct.numbers)
         {
-          oprot.writeI64(_iter152);
+          oprot.writeI64(_iter160);
         }
       }
     }
@@ -524,13 +524,13 @@
       struct.value = iprot.readBinary();
       struct.setValueIsSet(true);
       {
-        org.apache.thrift.protocol.TSet _set153 = iprot.readSetBegin(org.apache.thrift.protocol.TType.I64);
-        struct.numbers = new java.util.HashSet<java.lang.Long>(2*_set153.size);
-        long _elem154;
-        for (int _i155 = 0; _i155 < _set153.size; ++_i155)
+        org.apache.thrift.protocol.TSet _set161 = iprot.readSetBegin(org.apache.thrift.protocol.TType.I64);
+        struct.numbers = new java.util.HashSet<java.lang.Long>(2*_set161.size);
+        long _elem162;
+        for (int _i163 = 0; _i163 < _set161.size; ++_i163)
         {
-          _elem154 = iprot.readI64();
-          struct.numbers.add(_elem154);
+          _elem162 = iprot.readI64();
+          struct.numbers.add(_elem162);
         }
       }
       struct.setNumbersIsSet(true);
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/UsageConfirmationMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/UsageConfirmationMessage.java
@@ -11,15 +11,18 @@
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("UsageConfirmationMessage");
 
   private static final org.apache.thrift.protocol.TField BOOT_FIELD_DESC = new org.apache.thrift.protocol.TField("boot", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField UNFIT_FIELD_DESC = new org.apache.thrift.protocol.TField("unfit", org.apache.thrift.protocol.TType.BOOL, (short)2);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new UsageConfirmationMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new UsageConfirmationMessageTupleSchemeFactory();
 
   public long boot; // required
+  public boolean unfit; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    BOOT((short)1, "boot");
+    BOOT((short)1, "boot"),
+    UNFIT((short)2, "unfit");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -37,6 +40,8 @@
       switch(fieldId) {
         case 1: // BOOT
           return BOOT;
+        case 2: // UNFIT
+          return UNFIT;
         default:
           return null;
       }
@@ -81,12 +86,16 @@
 
   // isset id assignments
   private static final int __BOOT_ISSET_ID = 0;
+  private static final int __UNFIT_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.UNFIT};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
     tmpMap.put(_Fields.BOOT, new org.apache.thrift.meta_data.FieldMetaData("boot", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.UNFIT, new org.apache.thrift.meta_data.FieldMetaData("unfit", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(UsageConfirmationMessage.class, metaDataMap);
   }
@@ -108,6 +117,7 @@
   public UsageConfirmationMessage(UsageConfirmationMessage other) {
     __isset_bitfield = other.__isset_bitfield;
     this.boot = other.boot;
+    this.unfit = other.unfit;
   }
 
   @Override
@@ -119,6 +129,8 @@
   public void clear() {
     setBootIsSet(false);
     this.boot = 0;
+    setUnfitIsSet(false);
+    this.unfit = false;
   }
 
   public long getBoot() {
@@ -144,6 +156,29 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BOOT_ISSET_ID, value);
   }
 
+  public boolean isUnfit() {
+    return this.unfit;
+  }
+
+  public UsageConfirmationMessage setUnfit(boolean unfit) {
+    this.unfit = unfit;
+    setUnfitIsSet(true);
+    return this;
+  }
+
+  public void unsetUnfit() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __UNFIT_ISSET_ID);
+  }
+
+  /** Returns true if field unfit is set (has been assigned a value) and false otherwise */
+  public boolean isSetUnfit() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __UNFIT_ISSET_ID);
+  }
+
+  public void setUnfitIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __UNFIT_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -155,6 +190,14 @@
       }
       break;
 
+    case UNFIT:
+      if (value == null) {
+        unsetUnfit();
+      } else {
+        setUnfit((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -165,6 +208,9 @@
     case BOOT:
       return getBoot();
 
+    case UNFIT:
+      return isUnfit();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -179,6 +225,8 @@
     switch (field) {
     case BOOT:
       return isSetBoot();
+    case UNFIT:
+      return isSetUnfit();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -205,6 +253,15 @@
         return false;
     }
 
+    boolean this_present_unfit = true && this.isSetUnfit();
+    boolean that_present_unfit = true && that.isSetUnfit();
+    if (this_present_unfit || that_present_unfit) {
+      if (!(this_present_unfit && that_present_unfit))
+        return false;
+      if (this.unfit != that.unfit)
+        return false;
+    }
+
     return true;
   }
 
@@ -214,6 +271,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(boot);
 
+    hashCode = hashCode * 8191 + ((isSetUnfit()) ? 131071 : 524287);
+    if (isSetUnfit())
+      hashCode = hashCode * 8191 + ((unfit) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -235,6 +296,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetUnfit(), other.isSetUnfit());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetUnfit()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.unfit, other.unfit);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -262,6 +333,12 @@
     sb.append("boot:");
     sb.append(this.boot);
     first = false;
+    if (isSetUnfit()) {
+      if (!first) sb.append(", ");
+      sb.append("unfit:");
+      sb.append(this.unfit);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -318,6 +395,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 2: // UNFIT
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.unfit = iprot.readBool();
+              struct.setUnfitIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -340,6 +425,11 @@
       oprot.writeFieldBegin(BOOT_FIELD_DESC);
       oprot.writeI64(struct.boot);
       oprot.writeFieldEnd();
+      if (struct.isSetUnfit()) {
+        oprot.writeFieldBegin(UNFIT_FIELD_DESC);
+        oprot.writeBool(struct.unfit);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -359,6 +449,14 @@
     public void write(org.apache.thrift.protocol.TProtocol prot, UsageConfirmationMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       oprot.writeI64(struct.boot);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetUnfit()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetUnfit()) {
+        oprot.writeBool(struct.unfit);
+      }
     }
 
     @Override
@@ -366,6 +464,11 @@
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       struct.boot = iprot.readI64();
       struct.setBootIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.unfit = iprot.readBool();
+        struct.setUnfitIsSet(true);
+      }
     }
   }
 
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/UsagePushMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/UsagePushMessage.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField BOOT_FIELD_DESC = new org.apache.thrift.protocol.TField("boot", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField CURRENT_WINDOW_FIELD_DESC = new org.apache.thrift.protocol.TField("currentWindow", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField WINDOWS_FIELD_DESC = new org.apache.thrift.protocol.TField("windows", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField DEMANDS_FIELD_DESC = new org.apache.thrift.protocol.TField("demands", org.apache.thrift.protocol.TType.LIST, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new UsagePushMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new UsagePushMessageTupleSchemeFactory();
@@ -22,13 +23,15 @@
   public long boot; // required
   public long currentWindow; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<WindowUsageMessage> windows; // required
+  public @org.apache.thrift.annotation.Nullable java.util.List<PoolDemandMessage> demands; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     INSTANCE((short)1, "instance"),
     BOOT((short)2, "boot"),
     CURRENT_WINDOW((short)3, "currentWindow"),
-    WINDOWS((short)4, "windows");
+    WINDOWS((short)4, "windows"),
+    DEMANDS((short)5, "demands");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -52,6 +55,8 @@
           return CURRENT_WINDOW;
         case 4: // WINDOWS
           return WINDOWS;
+        case 5: // DEMANDS
+          return DEMANDS;
         default:
           return null;
       }
@@ -98,6 +103,7 @@
   private static final int __BOOT_ISSET_ID = 0;
   private static final int __CURRENTWINDOW_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.DEMANDS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -110,6 +116,9 @@
     tmpMap.put(_Fields.WINDOWS, new org.apache.thrift.meta_data.FieldMetaData("windows", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WindowUsageMessage.class))));
+    tmpMap.put(_Fields.DEMANDS, new org.apache.thrift.meta_data.FieldMetaData("demands", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PoolDemandMessage.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(UsagePushMessage.class, metaDataMap);
   }
@@ -149,6 +158,13 @@
       }
       this.windows = __this__windows;
     }
+    if (other.isSetDemands()) {
+      java.util.List<PoolDemandMessage> __this__demands = new java.util.ArrayList<PoolDemandMessage>(other.demands.size());
+      for (PoolDemandMessage other_element : other.demands) {
+        __this__demands.add(new PoolDemandMessage(other_element));
+      }
+      this.demands = __this__demands;
+    }
   }
 
   @Override
@@ -164,6 +180,7 @@
     setCurrentWindowIsSet(false);
     this.currentWindow = 0;
     this.windows = null;
+    this.demands = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -278,6 +295,47 @@
     }
   }
 
+  public int getDemandsSize() {
+    return (this.demands == null) ? 0 : this.demands.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<PoolDemandMessage> getDemandsIterator() {
+    return (this.demands == null) ? null : this.demands.iterator();
+  }
+
+  public void addToDemands(PoolDemandMessage elem) {
+    if (this.demands == null) {
+      this.demands = new java.util.ArrayList<PoolDemandMessage>();
+    }
+    this.demands.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<PoolDemandMessage> getDemands() {
+    return this.demands;
+  }
+
+  public UsagePushMessage setDemands(@org.apache.thrift.annotation.Nullable java.util.List<PoolDemandMessage> demands) {
+    this.demands = demands;
+    return this;
+  }
+
+  public void unsetDemands() {
+    this.demands = null;
+  }
+
+  /** Returns true if field demands is set (has been assigned a value) and false otherwise */
+  public boolean isSetDemands() {
+    return this.demands != null;
+  }
+
+  public void setDemandsIsSet(boolean value) {
+    if (!value) {
+      this.demands = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -313,6 +371,14 @@
       }
       break;
 
+    case DEMANDS:
+      if (value == null) {
+        unsetDemands();
+      } else {
+        setDemands((java.util.List<PoolDemandMessage>)value);
+      }
+      break;
+
     }
   }
 
@@ -332,6 +398,9 @@
     case WINDOWS:
       return getWindows();
 
+    case DEMANDS:
+      return getDemands();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -352,6 +421,8 @@
       return isSetCurrentWindow();
     case WINDOWS:
       return isSetWindows();
+    case DEMANDS:
+      return isSetDemands();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -405,6 +476,15 @@
         return false;
     }
 
+    boolean this_present_demands = true && this.isSetDemands();
+    boolean that_present_demands = true && that.isSetDemands();
+    if (this_present_demands || that_present_demands) {
+      if (!(this_present_demands && that_present_demands))
+        return false;
+      if (!this.demands.equals(that.demands))
+        return false;
+    }
+
     return true;
   }
 
@@ -424,6 +504,10 @@
     if (isSetWindows())
       hashCode = hashCode * 8191 + windows.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetDemands()) ? 131071 : 524287);
+    if (isSetDemands())
+      hashCode = hashCode * 8191 + demands.hashCode();
+
     return hashCode;
   }
 
@@ -475,6 +559,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetDemands(), other.isSetDemands());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetDemands()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.demands, other.demands);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -522,6 +616,16 @@
       sb.append(this.windows);
     }
     first = false;
+    if (isSetDemands()) {
+      if (!first) sb.append(", ");
+      sb.append("demands:");
+      if (this.demands == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.demands);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -620,6 +724,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // DEMANDS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list119 = iprot.readListBegin();
+                struct.demands = new java.util.ArrayList<PoolDemandMessage>(_list119.size);
+                @org.apache.thrift.annotation.Nullable PoolDemandMessage _elem120;
+                for (int _i121 = 0; _i121 < _list119.size; ++_i121)
+                {
+                  _elem120 = new PoolDemandMessage();
+                  _elem120.read(iprot);
+                  struct.demands.add(_elem120);
+                }
+                iprot.readListEnd();
+              }
+              struct.setDemandsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -657,14 +780,28 @@
         oprot.writeFieldBegin(WINDOWS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.windows.size()));
-          for (WindowUsageMessage _iter119 : struct.windows)
+          for (WindowUsageMessage _iter122 : struct.windows)
           {
-            _iter119.write(oprot);
+            _iter122.write(oprot);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
+      if (struct.demands != null) {
+        if (struct.isSetDemands()) {
+          oprot.writeFieldBegin(DEMANDS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.demands.size()));
+            for (PoolDemandMessage _iter123 : struct.demands)
+            {
+              _iter123.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -688,9 +825,23 @@
       oprot.writeI64(struct.currentWindow);
       {
         oprot.writeI32(struct.windows.size());
-        for (WindowUsageMessage _iter120 : struct.windows)
+        for (WindowUsageMessage _iter124 : struct.windows)
+        {
+          _iter124.write(oprot);
+        }
+      }
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetDemands()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetDemands()) {
         {
-          _iter120.write(oprot);
+          oprot.writeI32(struct.demands.size());
+          for (PoolDemandMessage _iter125 : struct.demands)
+          {
+            _iter125.write(oprot);
+          }
         }
       }
     }
@@ -705,17 +856,32 @@
       struct.currentWindow = iprot.readI64();
       struct.setCurrentWindowIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list121 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.windows = new java.util.ArrayList<WindowUsageMessage>(_list121.size);
-        @org.apache.thrift.annotation.Nullable WindowUsageMessage _elem122;
-        for (int _i123 = 0; _i123 < _list121.size; ++_i123)
+        org.apache.thrift.protocol.TList _list126 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.windows = new java.util.ArrayList<WindowUsageMessage>(_list126.size);
+        @org.apache.thrift.annotation.Nullable WindowUsageMessage _elem127;
+        for (int _i128 = 0; _i128 < _list126.size; ++_i128)
         {
-          _elem122 = new WindowUsageMessage();
-          _elem122.read(iprot);
-          struct.windows.add(_elem122);
+          _elem127 = new WindowUsageMessage();
+          _elem127.read(iprot);
+          struct.windows.add(_elem127);
         }
       }
       struct.setWindowsIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        {
+          org.apache.thrift.protocol.TList _list129 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.demands = new java.util.ArrayList<PoolDemandMessage>(_list129.size);
+          @org.apache.thrift.annotation.Nullable PoolDemandMessage _elem130;
+          for (int _i131 = 0; _i131 < _list129.size; ++_i131)
+          {
+            _elem130 = new PoolDemandMessage();
+            _elem130.read(iprot);
+            struct.demands.add(_elem130);
+          }
+        }
+        struct.setDemandsIsSet(true);
+      }
     }
   }
 
--- a/wagtailmux-peer/src/main/thrift/engine.thrift
+++ b/wagtailmux-peer/src/main/thrift/engine.thrift
@@ -126,15 +126,24 @@
   5: optional string previous
 }
 
+struct PoolDemandMessage {
+  1: required string pool
+  2: required i32 busy
+  3: required i64 arrivals
+  4: required i64 refused
+}
+
 struct UsagePushMessage {
   1: required string instance
   2: required i64 boot
   3: required i64 currentWindow
   4: required list<WindowUsageMessage> windows
+  5: optional list<PoolDemandMessage> demands
 }
 
 struct UsageConfirmationMessage {
   1: required i64 boot
+  2: optional bool unfit
 }
 
 struct PingMessage {
@@ -146,6 +155,7 @@
   6: optional list<PoolLimitsMessage> limits
   7: optional i64 dutyToken
   8: optional i64 wallLessStoreMilliseconds
+  9: optional bool unfitForDuties
 }
 
 struct RowContentMessage {
