--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/capacity/CapacityPlan.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/capacity/CapacityPlan.java
@@ -80,7 +80,6 @@
 	 * @return the orders, one for each zone at most
 	 */
 	public List<CapacityOrder> next(CapacityState state, Duration now) {
-		state.present().forEach((zone, count) -> this.ordered.putIfAbsent(zone, count));
 		observe(state.places(), now);
 		if (now.compareTo(this.nextOrder) < 0 || !hasSeenDemand()) {
 			return List.of();
@@ -88,7 +87,9 @@
 		int wanted = wanted(state, now);
 		int enough = enough(wanted, now);
 		List<CapacityOrder> orders = new ArrayList<>();
-		this.ordered.forEach((zone, count) -> {
+		Map<AvailabilityZoneId, Integer> counts = new TreeMap<>(state.present());
+		counts.putAll(this.ordered);
+		counts.forEach((zone, count) -> {
 			int number = Math.max(wanted, Math.min(enough, count));
 			if (isWorthAnOrder(count, number)) {
 				orders.add(new CapacityOrder(this.pool, zone, number));
--- a/wagtailmux-decision/src/test/java/io/wagtailmux/decision/capacity/CapacityPlanTests.java
+++ b/wagtailmux-decision/src/test/java/io/wagtailmux/decision/capacity/CapacityPlanTests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -109,6 +110,20 @@
 		assertThat(plan.next(state, Duration.ofMillis(1000))).isEqualTo(first);
 	}
 
+	/** Endpoints register one after the other when the whole system starts. */
+	@Test
+	void aZoneWhoseEndpointsWereNotAllRegisteredAtFirstIsLoweredAsWell() {
+		CapacityPlan plan = new CapacityPlan(new PoolId("engine"), RANGE);
+		Set<AvailabilityZoneId> lowered = new HashSet<>();
+		for (int second = 0; second < SECONDS; second++) {
+			Map<AvailabilityZoneId, Integer> present = present(12);
+			present.put(ZONES.get(0), (second == 0) ? 4 : 12);
+			plan.next(new CapacityState(10, SLOTS, present, Set.of()), Duration.ofSeconds(second))
+				.forEach((order) -> lowered.add(order.zone()));
+		}
+		assertThat(lowered).containsExactlyInAnyOrderElementsOf(ZONES);
+	}
+
 	private static Map<AvailabilityZoneId, Integer> present(int perZone) {
 		Map<AvailabilityZoneId, Integer> present = new HashMap<>();
 		ZONES.forEach((zone) -> present.put(zone, perZone));
