Say why pieces were not made, in the log of each call and in metrics

An operator saw that stages failed with an input gone, not in which call and beside what: the line 'batch ended' counts the reasons (notMade), and pieces_not_made_* counts them.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/DecisionLog.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/DecisionLog.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -10,6 +11,7 @@
 import io.wagtailmux.decision.placement.Placement;
 import io.wagtailmux.decision.stage.BatchOutcome;
 import io.wagtailmux.decision.stage.PieceBatch;
+import io.wagtailmux.engine.port.PieceFailure;
 import io.wagtailmux.model.AttemptId;
 import io.wagtailmux.model.EndpointId;
 import io.wagtailmux.model.PoolId;
@@ -157,8 +159,10 @@
 	 * @param took the duration of the call
 	 * @param expected the expected duration of a call with this number of pieces
 	 * @param sentBytes the size of the request's body
+	 * @param failures the number of pieces that were not made, by reason
 	 */
-	public void batchEnded(PieceBatch batch, BatchOutcome outcome, Duration took, Duration expected, int sentBytes) {
+	public void batchEnded(PieceBatch batch, BatchOutcome outcome, Duration took, Duration expected, int sentBytes,
+			Map<PieceFailure, Long> failures) {
 		LOG.atInfo()
 			.addKeyValue("endpoint", batch.endpoint())
 			.addKeyValue("pieces", batch.pieces().size())
@@ -166,6 +170,7 @@
 			.addKeyValue("tookMs", took.toMillis())
 			.addKeyValue("expectedMs", expected.toMillis())
 			.addKeyValue("sentBytes", sentBytes)
+			.addKeyValue("notMade", failures)
 			.log("batch ended");
 	}
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineMetrics.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineMetrics.java
@@ -1,6 +1,8 @@
 package io.wagtailmux.engine;
 
 import java.time.Duration;
+import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.Counter;
@@ -8,6 +10,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 
+import io.wagtailmux.engine.port.PieceFailure;
 import io.wagtailmux.engine.state.ServingView;
 import io.wagtailmux.model.serving.ServingConfiguration;
 
@@ -162,6 +165,16 @@
 		this.batchDelay.update(Math.max(0, took.minus(expected).toNanos()), TimeUnit.NANOSECONDS);
 	}
 
+	/**
+	 * Records the pieces that endpoints did not make.
+	 * @param failures the number of pieces by reason
+	 */
+	public void recordPiecesNotMade(Map<PieceFailure, Long> failures) {
+		failures.forEach(
+				(failure, count) -> this.registry.counter("pieces_not_made_" + failure.name().toLowerCase(Locale.ROOT))
+					.inc(count));
+	}
+
 	/**
 	 * Records a request whose caller disconnected before the end of the answer.
 	 */
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -219,7 +220,9 @@
 		Duration now = now();
 		PieceBatch batch = call.batch();
 		Duration expected = this.capacity.expectedTime(batch.pieces().size());
-		this.context.log().batchEnded(batch, batchOutcome, call.elapsed(now), expected, call.sentBytes());
+		Map<PieceFailure, Long> failures = failures(pieceOutcomes);
+		this.context.log().batchEnded(batch, batchOutcome, call.elapsed(now), expected, call.sentBytes(), failures);
+		this.context.metrics().recordPiecesNotMade(failures);
 		this.context.metrics().recordBatchEnd(call.elapsed(now), expected);
 		boolean noRoomForAny = !pieceOutcomes.isEmpty() && pieceOutcomes.stream().allMatch(OwnedPool::isNoRoom);
 		this.planner.onBatchEnded(batch, noRoomForAny ? BatchOutcome.REFUSED : batchOutcome, call.elapsed(now), now);
@@ -231,6 +234,13 @@
 		onPiecesEnded(batch, batchOutcome, pieceOutcomes);
 	}
 
+	private static Map<PieceFailure, Long> failures(List<PieceOutcome> outcomes) {
+		return outcomes.stream()
+			.flatMap((outcome) -> outcome.failure().stream())
+			.collect(Collectors.groupingBy((failure) -> failure, () -> new EnumMap<>(PieceFailure.class),
+					Collectors.counting()));
+	}
+
 	/**
 	 * Reports a call that may have ended its endpoint. If its connection broke, which is
 	 * checked in a moment, or if one of its requests was at an endpoint that ended
