Place by the speed that endpoints state

The fourth figure of an endpoint's load is read; the lowest of the recent past weighs which engine is preferred for a shared part, the last statement multiplies the expected time for a moment. PlacementTests failed before: subjects were divided equally instead of in proportion to the speed, and a slowed engine was chosen again. Endpoints without the figure are placed as before.

--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/placement/EndpointLoad.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/placement/EndpointLoad.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import io.wagtailmux.decision.estimate.EndpointSpeed;
 import io.wagtailmux.decision.estimate.ServiceTimeEstimate;
 import io.wagtailmux.model.AvailabilityZoneId;
 import io.wagtailmux.model.EndpointId;
@@ -37,6 +38,8 @@
 
 	private final PromptCacheView promptCache;
 
+	private final EndpointSpeed speed = new EndpointSpeed();
+
 	private Duration answeredAt = MEASUREMENT_LIFETIME.negated();
 
 	private int inFlight;
@@ -93,6 +96,14 @@
 		return this.promptCache;
 	}
 
+	/**
+	 * Returns how long work takes at the endpoint, as far as it states that.
+	 * @return the speed, which callers update with statements
+	 */
+	public EndpointSpeed speed() {
+		return this.speed;
+	}
+
 	/**
 	 * Returns the number of requests that the endpoint runs concurrently.
 	 * @return at least one
--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/placement/EnginePlacement.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/placement/EnginePlacement.java
@@ -56,7 +56,7 @@
 	 */
 	public Optional<Placement> choose(List<EndpointLoad> engines, Set<EndpointId> tried, Generation generation,
 			InputBytes inputs, Optional<AvailabilityZoneId> home, Duration now) {
-		Optional<EndpointLoad> preferred = preferred(engines, generation, home);
+		Optional<EndpointLoad> preferred = preferred(engines, generation, home, now);
 		EndpointLoad best = null;
 		Duration bestTime = null;
 		for (EndpointLoad engine : engines) {
@@ -92,15 +92,31 @@
 		return Math.max(0, generation.promptTokens() - engine.promptCache().cachedTokens(generation.parts()));
 	}
 
+	/**
+	 * Returns the engine that all instances prefer for the last shared part of a prompt.
+	 * Where engines state how long work takes there, the faster ones are preferred for
+	 * more parts.
+	 * @param engines the usable engines
+	 * @param generation the requested generation
+	 * @param zone the availability zone in which it is sought, if there is one in it
+	 * @param now the elapsed time
+	 * @return the engine; empty if the prompt has no shared part
+	 */
 	private static Optional<EndpointLoad> preferred(List<EndpointLoad> engines, Generation generation,
-			Optional<AvailabilityZoneId> zone) {
+			Optional<AvailabilityZoneId> zone, Duration now) {
 		List<EndpointLoad> inZone = engines.stream()
 			.filter((engine) -> zone.isEmpty() || zone.get().equals(engine.zone()))
 			.toList();
 		List<EndpointLoad> candidates = inZone.isEmpty() ? engines : inZone;
+		boolean statesSpeeds = candidates.stream().anyMatch((engine) -> engine.speed().lasting(now).isPresent());
 		return generation.lastSharedPart()
 			.flatMap((part) -> candidates.stream()
-				.max(Comparator.comparingInt((engine) -> RendezvousHash.of(part.id(), engine.id()))));
+				.max(statesSpeeds ? Comparator.comparingDouble((engine) -> speedWeightedScore(part.id(), engine, now))
+						: Comparator.comparingInt((engine) -> RendezvousHash.of(part.id(), engine.id()))));
+	}
+
+	private static double speedWeightedScore(String part, EndpointLoad engine, Duration now) {
+		return RendezvousHash.weightedScore(part, engine.id(), 1 / engine.speed().lasting(now).orElse(1));
 	}
 
 	private static Duration transferCost(EndpointLoad engine, InputBytes inputs) {
@@ -117,7 +133,8 @@
 		Duration prefill = PromptCacheView.readingTime(engine.pendingPrefillTokens() + uncached,
 				PREFILL_TOKENS_PER_SECOND);
 		int requests = engine.outstandingRequests(now);
-		Duration time = prefill.plus(RUNNING_COST.multipliedBy(requests));
+		Duration usual = prefill.plus(RUNNING_COST.multipliedBy(requests));
+		Duration time = Duration.ofNanos((long) (usual.toNanos() * engine.speed().present(now)));
 		if (requests >= engine.slots()) {
 			time = time.plus(WAITING_COST.multipliedBy(requests - engine.slots() + 1L));
 		}
--- a/wagtailmux-decision/src/test/java/io/wagtailmux/decision/placement/PlacementTests.java
+++ b/wagtailmux-decision/src/test/java/io/wagtailmux/decision/placement/PlacementTests.java
@@ -19,6 +19,7 @@
 import io.wagtailmux.model.serving.PromptPart;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.withinPercentage;
 
 class PlacementTests {
 
@@ -64,6 +65,43 @@
 		assertThat(choosePlain(Set.of())).isEqualTo(this.endpoints.get(3));
 	}
 
+	/** Load: many subjects, engines of which some need 2.4 times as long as others. */
+	@Test
+	void subjectsAreDividedAmongEnginesInProportionToTheirSpeed() {
+		Map<EndpointId, Integer> subjects = new HashMap<>();
+		this.endpoints.forEach((engine) -> engine.speed().onHeard(isSlow(engine) ? 1.7 : 0.7, NOW));
+		for (int subject = 0; subject < 4000; subject++) {
+			Generation generation = new Generation(1000, 10,
+					List.of(new PromptPart("subject-" + subject, 900), new PromptPart("own-" + subject, 100)));
+			EndpointLoad chosen = this.engines
+				.choose(this.endpoints, Set.of(), generation, InputBytes.NONE, Optional.empty(), NOW)
+				.orElseThrow()
+				.endpoint();
+			subjects.merge(chosen.id(), 1, Integer::sum);
+		}
+		double slow = subjects.get(this.endpoints.get(2).id());
+		double fast = subjects.get(this.endpoints.get(0).id());
+		assertThat(fast / slow).isCloseTo(1.7 / 0.7, withinPercentage(10));
+	}
+
+	@Test
+	void anEngineThatANeighbourSlowsNowGetsNoNewRequests() {
+		this.endpoints.forEach((engine) -> engine.speed().onStated(1, NOW));
+		Generation generation = new Generation(6000, 10, List.of());
+		EndpointLoad first = this.engines
+			.choose(this.endpoints, Set.of(), generation, InputBytes.NONE, Optional.empty(), NOW)
+			.orElseThrow()
+			.endpoint();
+		first.speed().onStated(2.5, NOW);
+		assertThat(this.engines.choose(this.endpoints, Set.of(), generation, InputBytes.NONE, Optional.empty(), NOW)
+			.orElseThrow()
+			.endpoint()).isNotEqualTo(first);
+	}
+
+	private boolean isSlow(EndpointLoad engine) {
+		return engine == this.endpoints.get(2);
+	}
+
 	@Test
 	void anEndpointWithoutRecentAnswersIsTriedAgain() {
 		for (int index = 0; index < 20; index++) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineContext.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineContext.java
@@ -83,7 +83,7 @@
 		this.admission = new Admission(random);
 		this.plainPlacement = new PlainPlacement(zone, random);
 		this.crashWatch = new CrashWatch(client, time);
-		this.statements = new EndpointStatements(metrics);
+		this.statements = new EndpointStatements(metrics, state.statedSpeeds());
 	}
 
 	/**
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
@@ -39,6 +39,7 @@
 import io.wagtailmux.engine.peer.PeerHandler;
 import io.wagtailmux.engine.peer.PieceRouter;
 import io.wagtailmux.engine.peer.PoisonMessages;
+import io.wagtailmux.engine.peer.SpeedMessages;
 import io.wagtailmux.engine.peer.TrialMessages;
 import io.wagtailmux.engine.port.CallerProtocol;
 import io.wagtailmux.engine.port.DutyReceiver;
@@ -58,6 +59,7 @@
 import io.wagtailmux.model.PoolId;
 import io.wagtailmux.model.TimeSource;
 import io.wagtailmux.model.serving.ServingConfiguration;
+import io.wagtailmux.peer.wire.EndpointSpeedMessage;
 import io.wagtailmux.peer.wire.InstanceRecordMessage;
 import io.wagtailmux.peer.wire.PingMessage;
 import io.wagtailmux.peer.wire.PoisonEvidenceMessage;
@@ -297,6 +299,10 @@
 		if (!poison.isEmpty()) {
 			message.setPoison(poison);
 		}
+		List<EndpointSpeedMessage> speeds = SpeedMessages.messages(this.context.state(), this.time.elapsed());
+		if (!speeds.isEmpty()) {
+			message.setSpeeds(speeds);
+		}
 		List<PoolLimitsMessage> limits = LimitMessages.messages(this.context.state(), this.time.elapsed());
 		return limits.isEmpty() ? message : message.setLimits(limits);
 	}
@@ -308,7 +314,7 @@
 
 	private void onHeartbeatAnswer(PingMessage answer) {
 		this.duties.ifPresent((control) -> control.onHeartbeat(answer));
-		if (answer.isSetPoison() || answer.isSetLimits()) {
+		if (answer.isSetPoison() || answer.isSetLimits() || answer.isSetSpeeds()) {
 			this.traffic.execute("reports of an instance", () -> mergeReports(answer));
 		}
 	}
@@ -318,6 +324,9 @@
 			if (answer.isSetPoison()) {
 				PoisonMessages.merge(answer.getPoison(), this.context.state(), this.time.elapsed());
 			}
+			if (answer.isSetSpeeds()) {
+				SpeedMessages.merge(answer.getSpeeds(), this.context.state(), this.time.elapsed());
+			}
 			if (answer.isSetLimits()) {
 				LimitMessages.merge(answer, this.context.state(), this.time.elapsed());
 			}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/EndpointStatements.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/EndpointStatements.java
@@ -9,6 +9,7 @@
 import io.wagtailmux.decision.availability.EndpointAvailability;
 import io.wagtailmux.engine.EngineMetrics;
 import io.wagtailmux.engine.port.EndpointAnswer;
+import io.wagtailmux.engine.port.ReportedLoad;
 import io.wagtailmux.engine.port.StatedAwayTime;
 
 /**
@@ -27,12 +28,16 @@
 
 	private final EngineMetrics metrics;
 
+	private final StatedSpeeds speeds;
+
 	/**
 	 * Creates the recorder.
 	 * @param metrics counts the statements
+	 * @param speeds keeps what is told to other instances
 	 */
-	public EndpointStatements(EngineMetrics metrics) {
+	public EndpointStatements(EngineMetrics metrics, StatedSpeeds speeds) {
 		this.metrics = metrics;
+		this.speeds = speeds;
 	}
 
 	/**
@@ -47,7 +52,7 @@
 		if (answer.status() == MISDIRECTED) {
 			return;
 		}
-		answer.load().ifPresent((load) -> endpoint.load().updateReportedLoad(load.running(), load.waiting(), now));
+		answer.load().ifPresent((load) -> recordLoad(endpoint, load, now));
 		endpoint.recordStatedLimit(answer.limit(), now);
 		if (answer.leaving() && endpoint.availability().recordLeaving()) {
 			this.metrics.recordEndpointLeaving();
@@ -56,6 +61,14 @@
 		recordAwayTime(endpoint, answer, call, now);
 	}
 
+	private void recordLoad(LiveEndpoint endpoint, ReportedLoad load, Duration now) {
+		endpoint.load().updateReportedLoad(load.running(), load.waiting(), now);
+		load.workTime().ifPresent((workTime) -> {
+			endpoint.load().speed().onStated(workTime, now);
+			this.speeds.record(endpoint.entry(), workTime, now);
+		});
+	}
+
 	private void recordAwayTime(LiveEndpoint endpoint, EndpointAnswer answer, String call, Duration now) {
 		StatedAwayTime stated = answer.awayTime();
 		if (stated.time().isEmpty() && stated.unreadable().isEmpty()) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/ServingState.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/ServingState.java
@@ -45,6 +45,8 @@
 
 	private final Map<PoolId, List<Refusal>> earlyRefusals = new HashMap<>();
 
+	private final StatedSpeeds statedSpeeds = new StatedSpeeds();
+
 	private ServingView view = ServingView.EMPTY;
 
 	private Optional<StopPlan> stopPlan = Optional.empty();
@@ -86,6 +88,14 @@
 				byPool.getOrDefault(id, List.of()), next, now));
 	}
 
+	/**
+	 * Returns what endpoints have stated to this instance about how long work takes.
+	 * @return the newest statements
+	 */
+	public StatedSpeeds statedSpeeds() {
+		return this.statedSpeeds;
+	}
+
 	/**
 	 * Returns this instance's demand for the pools whose endpoints can be ordered.
 	 * @return the demand by pool
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/KnownRowMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/KnownRowMessage.java
@@ -759,14 +759,14 @@
           case 3: // EARLIER
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list164 = iprot.readListBegin();
-                struct.earlier = new java.util.ArrayList<RowContentMessage>(_list164.size);
-                @org.apache.thrift.annotation.Nullable RowContentMessage _elem165;
-                for (int _i166 = 0; _i166 < _list164.size; ++_i166)
+                org.apache.thrift.protocol.TList _list172 = iprot.readListBegin();
+                struct.earlier = new java.util.ArrayList<RowContentMessage>(_list172.size);
+                @org.apache.thrift.annotation.Nullable RowContentMessage _elem173;
+                for (int _i174 = 0; _i174 < _list172.size; ++_i174)
                 {
-                  _elem165 = new RowContentMessage();
-                  _elem165.read(iprot);
-                  struct.earlier.add(_elem165);
+                  _elem173 = new RowContentMessage();
+                  _elem173.read(iprot);
+                  struct.earlier.add(_elem173);
                 }
                 iprot.readListEnd();
               }
@@ -840,9 +840,9 @@
         oprot.writeFieldBegin(EARLIER_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.earlier.size()));
-          for (RowContentMessage _iter167 : struct.earlier)
+          for (RowContentMessage _iter175 : struct.earlier)
           {
-            _iter167.write(oprot);
+            _iter175.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -878,9 +878,9 @@
       oprot.writeString(struct.key);
       {
         oprot.writeI32(struct.earlier.size());
-        for (RowContentMessage _iter168 : struct.earlier)
+        for (RowContentMessage _iter176 : struct.earlier)
         {
-          _iter168.write(oprot);
+          _iter176.write(oprot);
         }
       }
       oprot.writeI64(struct.number);
@@ -902,14 +902,14 @@
       struct.key = iprot.readString();
       struct.setKeyIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list169 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.earlier = new java.util.ArrayList<RowContentMessage>(_list169.size);
-        @org.apache.thrift.annotation.Nullable RowContentMessage _elem170;
-        for (int _i171 = 0; _i171 < _list169.size; ++_i171)
+        org.apache.thrift.protocol.TList _list177 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.earlier = new java.util.ArrayList<RowContentMessage>(_list177.size);
+        @org.apache.thrift.annotation.Nullable RowContentMessage _elem178;
+        for (int _i179 = 0; _i179 < _list177.size; ++_i179)
         {
-          _elem170 = new RowContentMessage();
-          _elem170.read(iprot);
-          struct.earlier.add(_elem170);
+          _elem178 = new RowContentMessage();
+          _elem178.read(iprot);
+          struct.earlier.add(_elem178);
         }
       }
       struct.setEarlierIsSet(true);
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/KnownTableMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/KnownTableMessage.java
@@ -520,14 +520,14 @@
           case 3: // ROWS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list172 = iprot.readListBegin();
-                struct.rows = new java.util.ArrayList<KnownRowMessage>(_list172.size);
-                @org.apache.thrift.annotation.Nullable KnownRowMessage _elem173;
-                for (int _i174 = 0; _i174 < _list172.size; ++_i174)
+                org.apache.thrift.protocol.TList _list180 = iprot.readListBegin();
+                struct.rows = new java.util.ArrayList<KnownRowMessage>(_list180.size);
+                @org.apache.thrift.annotation.Nullable KnownRowMessage _elem181;
+                for (int _i182 = 0; _i182 < _list180.size; ++_i182)
                 {
-                  _elem173 = new KnownRowMessage();
-                  _elem173.read(iprot);
-                  struct.rows.add(_elem173);
+                  _elem181 = new KnownRowMessage();
+                  _elem181.read(iprot);
+                  struct.rows.add(_elem181);
                 }
                 iprot.readListEnd();
               }
@@ -567,9 +567,9 @@
         oprot.writeFieldBegin(ROWS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.rows.size()));
-          for (KnownRowMessage _iter175 : struct.rows)
+          for (KnownRowMessage _iter183 : struct.rows)
           {
-            _iter175.write(oprot);
+            _iter183.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -597,9 +597,9 @@
       oprot.writeI64(struct.era);
       {
         oprot.writeI32(struct.rows.size());
-        for (KnownRowMessage _iter176 : struct.rows)
+        for (KnownRowMessage _iter184 : struct.rows)
         {
-          _iter176.write(oprot);
+          _iter184.write(oprot);
         }
       }
     }
@@ -612,14 +612,14 @@
       struct.era = iprot.readI64();
       struct.setEraIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list177 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.rows = new java.util.ArrayList<KnownRowMessage>(_list177.size);
-        @org.apache.thrift.annotation.Nullable KnownRowMessage _elem178;
-        for (int _i179 = 0; _i179 < _list177.size; ++_i179)
+        org.apache.thrift.protocol.TList _list185 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.rows = new java.util.ArrayList<KnownRowMessage>(_list185.size);
+        @org.apache.thrift.annotation.Nullable KnownRowMessage _elem186;
+        for (int _i187 = 0; _i187 < _list185.size; ++_i187)
         {
-          _elem178 = new KnownRowMessage();
-          _elem178.read(iprot);
-          struct.rows.add(_elem178);
+          _elem186 = new KnownRowMessage();
+          _elem186.read(iprot);
+          struct.rows.add(_elem186);
         }
       }
       struct.setRowsIsSet(true);
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/KnownTablesMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/KnownTablesMessage.java
@@ -339,14 +339,14 @@
           case 1: // TABLES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list180 = iprot.readListBegin();
-                struct.tables = new java.util.ArrayList<KnownTableMessage>(_list180.size);
-                @org.apache.thrift.annotation.Nullable KnownTableMessage _elem181;
-                for (int _i182 = 0; _i182 < _list180.size; ++_i182)
+                org.apache.thrift.protocol.TList _list188 = iprot.readListBegin();
+                struct.tables = new java.util.ArrayList<KnownTableMessage>(_list188.size);
+                @org.apache.thrift.annotation.Nullable KnownTableMessage _elem189;
+                for (int _i190 = 0; _i190 < _list188.size; ++_i190)
                 {
-                  _elem181 = new KnownTableMessage();
-                  _elem181.read(iprot);
-                  struct.tables.add(_elem181);
+                  _elem189 = new KnownTableMessage();
+                  _elem189.read(iprot);
+                  struct.tables.add(_elem189);
                 }
                 iprot.readListEnd();
               }
@@ -375,9 +375,9 @@
         oprot.writeFieldBegin(TABLES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.tables.size()));
-          for (KnownTableMessage _iter183 : struct.tables)
+          for (KnownTableMessage _iter191 : struct.tables)
           {
-            _iter183.write(oprot);
+            _iter191.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -403,9 +403,9 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
         oprot.writeI32(struct.tables.size());
-        for (KnownTableMessage _iter184 : struct.tables)
+        for (KnownTableMessage _iter192 : struct.tables)
         {
-          _iter184.write(oprot);
+          _iter192.write(oprot);
         }
       }
     }
@@ -414,14 +414,14 @@
     public void read(org.apache.thrift.protocol.TProtocol prot, KnownTablesMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        org.apache.thrift.protocol.TList _list185 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.tables = new java.util.ArrayList<KnownTableMessage>(_list185.size);
-        @org.apache.thrift.annotation.Nullable KnownTableMessage _elem186;
-        for (int _i187 = 0; _i187 < _list185.size; ++_i187)
+        org.apache.thrift.protocol.TList _list193 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.tables = new java.util.ArrayList<KnownTableMessage>(_list193.size);
+        @org.apache.thrift.annotation.Nullable KnownTableMessage _elem194;
+        for (int _i195 = 0; _i195 < _list193.size; ++_i195)
         {
-          _elem186 = new KnownTableMessage();
-          _elem186.read(iprot);
-          struct.tables.add(_elem186);
+          _elem194 = new KnownTableMessage();
+          _elem194.read(iprot);
+          struct.tables.add(_elem194);
         }
       }
       struct.setTablesIsSet(true);
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/PingMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/PingMessage.java
@@ -19,6 +19,7 @@
   private static final org.apache.thrift.protocol.TField DUTY_TOKEN_FIELD_DESC = new org.apache.thrift.protocol.TField("dutyToken", org.apache.thrift.protocol.TType.I64, (short)7);
   private static final org.apache.thrift.protocol.TField WALL_LESS_STORE_MILLISECONDS_FIELD_DESC = new org.apache.thrift.protocol.TField("wallLessStoreMilliseconds", org.apache.thrift.protocol.TType.I64, (short)8);
   private static final org.apache.thrift.protocol.TField UNFIT_FOR_DUTIES_FIELD_DESC = new org.apache.thrift.protocol.TField("unfitForDuties", org.apache.thrift.protocol.TType.BOOL, (short)9);
+  private static final org.apache.thrift.protocol.TField SPEEDS_FIELD_DESC = new org.apache.thrift.protocol.TField("speeds", org.apache.thrift.protocol.TType.LIST, (short)10);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PingMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PingMessageTupleSchemeFactory();
@@ -32,6 +33,7 @@
   public long dutyToken; // optional
   public long wallLessStoreMilliseconds; // optional
   public boolean unfitForDuties; // optional
+  public @org.apache.thrift.annotation.Nullable java.util.List<EndpointSpeedMessage> speeds; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -43,7 +45,8 @@
     LIMITS((short)6, "limits"),
     DUTY_TOKEN((short)7, "dutyToken"),
     WALL_LESS_STORE_MILLISECONDS((short)8, "wallLessStoreMilliseconds"),
-    UNFIT_FOR_DUTIES((short)9, "unfitForDuties");
+    UNFIT_FOR_DUTIES((short)9, "unfitForDuties"),
+    SPEEDS((short)10, "speeds");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -77,6 +80,8 @@
           return WALL_LESS_STORE_MILLISECONDS;
         case 9: // UNFIT_FOR_DUTIES
           return UNFIT_FOR_DUTIES;
+        case 10: // SPEEDS
+          return SPEEDS;
         default:
           return null;
       }
@@ -126,7 +131,7 @@
   private static final int __WALLLESSSTOREMILLISECONDS_ISSET_ID = 3;
   private static final int __UNFITFORDUTIES_ISSET_ID = 4;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.TRIALS,_Fields.POISON,_Fields.LIMITS,_Fields.DUTY_TOKEN,_Fields.WALL_LESS_STORE_MILLISECONDS,_Fields.UNFIT_FOR_DUTIES};
+  private static final _Fields optionals[] = {_Fields.TRIALS,_Fields.POISON,_Fields.LIMITS,_Fields.DUTY_TOKEN,_Fields.WALL_LESS_STORE_MILLISECONDS,_Fields.UNFIT_FOR_DUTIES,_Fields.SPEEDS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -151,6 +156,9 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.UNFIT_FOR_DUTIES, new org.apache.thrift.meta_data.FieldMetaData("unfitForDuties", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.SPEEDS, new org.apache.thrift.meta_data.FieldMetaData("speeds", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, EndpointSpeedMessage.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PingMessage.class, metaDataMap);
   }
@@ -205,6 +213,13 @@
     this.dutyToken = other.dutyToken;
     this.wallLessStoreMilliseconds = other.wallLessStoreMilliseconds;
     this.unfitForDuties = other.unfitForDuties;
+    if (other.isSetSpeeds()) {
+      java.util.List<EndpointSpeedMessage> __this__speeds = new java.util.ArrayList<EndpointSpeedMessage>(other.speeds.size());
+      for (EndpointSpeedMessage other_element : other.speeds) {
+        __this__speeds.add(new EndpointSpeedMessage(other_element));
+      }
+      this.speeds = __this__speeds;
+    }
   }
 
   @Override
@@ -228,6 +243,7 @@
     this.wallLessStoreMilliseconds = 0;
     setUnfitForDutiesIsSet(false);
     this.unfitForDuties = false;
+    this.speeds = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -493,6 +509,47 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __UNFITFORDUTIES_ISSET_ID, value);
   }
 
+  public int getSpeedsSize() {
+    return (this.speeds == null) ? 0 : this.speeds.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<EndpointSpeedMessage> getSpeedsIterator() {
+    return (this.speeds == null) ? null : this.speeds.iterator();
+  }
+
+  public void addToSpeeds(EndpointSpeedMessage elem) {
+    if (this.speeds == null) {
+      this.speeds = new java.util.ArrayList<EndpointSpeedMessage>();
+    }
+    this.speeds.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<EndpointSpeedMessage> getSpeeds() {
+    return this.speeds;
+  }
+
+  public PingMessage setSpeeds(@org.apache.thrift.annotation.Nullable java.util.List<EndpointSpeedMessage> speeds) {
+    this.speeds = speeds;
+    return this;
+  }
+
+  public void unsetSpeeds() {
+    this.speeds = null;
+  }
+
+  /** Returns true if field speeds is set (has been assigned a value) and false otherwise */
+  public boolean isSetSpeeds() {
+    return this.speeds != null;
+  }
+
+  public void setSpeedsIsSet(boolean value) {
+    if (!value) {
+      this.speeds = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -568,6 +625,14 @@
       }
       break;
 
+    case SPEEDS:
+      if (value == null) {
+        unsetSpeeds();
+      } else {
+        setSpeeds((java.util.List<EndpointSpeedMessage>)value);
+      }
+      break;
+
     }
   }
 
@@ -602,6 +667,9 @@
     case UNFIT_FOR_DUTIES:
       return isUnfitForDuties();
 
+    case SPEEDS:
+      return getSpeeds();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -632,6 +700,8 @@
       return isSetWallLessStoreMilliseconds();
     case UNFIT_FOR_DUTIES:
       return isSetUnfitForDuties();
+    case SPEEDS:
+      return isSetSpeeds();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -730,6 +800,15 @@
         return false;
     }
 
+    boolean this_present_speeds = true && this.isSetSpeeds();
+    boolean that_present_speeds = true && that.isSetSpeeds();
+    if (this_present_speeds || that_present_speeds) {
+      if (!(this_present_speeds && that_present_speeds))
+        return false;
+      if (!this.speeds.equals(that.speeds))
+        return false;
+    }
+
     return true;
   }
 
@@ -769,6 +848,10 @@
     if (isSetUnfitForDuties())
       hashCode = hashCode * 8191 + ((unfitForDuties) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetSpeeds()) ? 131071 : 524287);
+    if (isSetSpeeds())
+      hashCode = hashCode * 8191 + speeds.hashCode();
+
     return hashCode;
   }
 
@@ -870,6 +953,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSpeeds(), other.isSetSpeeds());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSpeeds()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.speeds, other.speeds);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -957,6 +1050,16 @@
       sb.append(this.unfitForDuties);
       first = false;
     }
+    if (isSetSpeeds()) {
+      if (!first) sb.append(", ");
+      sb.append("speeds:");
+      if (this.speeds == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.speeds);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1118,6 +1221,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 10: // SPEEDS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list141 = iprot.readListBegin();
+                struct.speeds = new java.util.ArrayList<EndpointSpeedMessage>(_list141.size);
+                @org.apache.thrift.annotation.Nullable EndpointSpeedMessage _elem142;
+                for (int _i143 = 0; _i143 < _list141.size; ++_i143)
+                {
+                  _elem142 = new EndpointSpeedMessage();
+                  _elem142.read(iprot);
+                  struct.speeds.add(_elem142);
+                }
+                iprot.readListEnd();
+              }
+              struct.setSpeedsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1156,9 +1278,9 @@
           oprot.writeFieldBegin(TRIALS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.trials.size()));
-            for (TrialReportMessage _iter141 : struct.trials)
+            for (TrialReportMessage _iter144 : struct.trials)
             {
-              _iter141.write(oprot);
+              _iter144.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1170,9 +1292,9 @@
           oprot.writeFieldBegin(POISON_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.poison.size()));
-            for (PoisonEvidenceMessage _iter142 : struct.poison)
+            for (PoisonEvidenceMessage _iter145 : struct.poison)
             {
-              _iter142.write(oprot);
+              _iter145.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1184,9 +1306,9 @@
           oprot.writeFieldBegin(LIMITS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.limits.size()));
-            for (PoolLimitsMessage _iter143 : struct.limits)
+            for (PoolLimitsMessage _iter146 : struct.limits)
             {
-              _iter143.write(oprot);
+              _iter146.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1208,6 +1330,20 @@
         oprot.writeBool(struct.unfitForDuties);
         oprot.writeFieldEnd();
       }
+      if (struct.speeds != null) {
+        if (struct.isSetSpeeds()) {
+          oprot.writeFieldBegin(SPEEDS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.speeds.size()));
+            for (EndpointSpeedMessage _iter147 : struct.speeds)
+            {
+              _iter147.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1248,31 +1384,34 @@
       if (struct.isSetUnfitForDuties()) {
         optionals.set(5);
       }
-      oprot.writeBitSet(optionals, 6);
+      if (struct.isSetSpeeds()) {
+        optionals.set(6);
+      }
+      oprot.writeBitSet(optionals, 7);
       if (struct.isSetTrials()) {
         {
           oprot.writeI32(struct.trials.size());
-          for (TrialReportMessage _iter144 : struct.trials)
+          for (TrialReportMessage _iter148 : struct.trials)
           {
-            _iter144.write(oprot);
+            _iter148.write(oprot);
           }
         }
       }
       if (struct.isSetPoison()) {
         {
           oprot.writeI32(struct.poison.size());
-          for (PoisonEvidenceMessage _iter145 : struct.poison)
+          for (PoisonEvidenceMessage _iter149 : struct.poison)
           {
-            _iter145.write(oprot);
+            _iter149.write(oprot);
           }
         }
       }
       if (struct.isSetLimits()) {
         {
           oprot.writeI32(struct.limits.size());
-          for (PoolLimitsMessage _iter146 : struct.limits)
+          for (PoolLimitsMessage _iter150 : struct.limits)
           {
-            _iter146.write(oprot);
+            _iter150.write(oprot);
           }
         }
       }
@@ -1285,6 +1424,15 @@
       if (struct.isSetUnfitForDuties()) {
         oprot.writeBool(struct.unfitForDuties);
       }
+      if (struct.isSetSpeeds()) {
+        {
+          oprot.writeI32(struct.speeds.size());
+          for (EndpointSpeedMessage _iter151 : struct.speeds)
+          {
+            _iter151.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
@@ -1297,45 +1445,45 @@
       struct.setConfigurationVersionIsSet(true);
       struct.leaving = iprot.readBool();
       struct.setLeavingIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(6);
+      java.util.BitSet incoming = iprot.readBitSet(7);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list147 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.trials = new java.util.ArrayList<TrialReportMessage>(_list147.size);
-          @org.apache.thrift.annotation.Nullable TrialReportMessage _elem148;
-          for (int _i149 = 0; _i149 < _list147.size; ++_i149)
+          org.apache.thrift.protocol.TList _list152 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.trials = new java.util.ArrayList<TrialReportMessage>(_list152.size);
+          @org.apache.thrift.annotation.Nullable TrialReportMessage _elem153;
+          for (int _i154 = 0; _i154 < _list152.size; ++_i154)
           {
-            _elem148 = new TrialReportMessage();
-            _elem148.read(iprot);
-            struct.trials.add(_elem148);
+            _elem153 = new TrialReportMessage();
+            _elem153.read(iprot);
+            struct.trials.add(_elem153);
           }
         }
         struct.setTrialsIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list150 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.poison = new java.util.ArrayList<PoisonEvidenceMessage>(_list150.size);
-          @org.apache.thrift.annotation.Nullable PoisonEvidenceMessage _elem151;
-          for (int _i152 = 0; _i152 < _list150.size; ++_i152)
+          org.apache.thrift.protocol.TList _list155 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.poison = new java.util.ArrayList<PoisonEvidenceMessage>(_list155.size);
+          @org.apache.thrift.annotation.Nullable PoisonEvidenceMessage _elem156;
+          for (int _i157 = 0; _i157 < _list155.size; ++_i157)
           {
-            _elem151 = new PoisonEvidenceMessage();
-            _elem151.read(iprot);
-            struct.poison.add(_elem151);
+            _elem156 = new PoisonEvidenceMessage();
+            _elem156.read(iprot);
+            struct.poison.add(_elem156);
           }
         }
         struct.setPoisonIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list153 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.limits = new java.util.ArrayList<PoolLimitsMessage>(_list153.size);
-          @org.apache.thrift.annotation.Nullable PoolLimitsMessage _elem154;
-          for (int _i155 = 0; _i155 < _list153.size; ++_i155)
+          org.apache.thrift.protocol.TList _list158 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.limits = new java.util.ArrayList<PoolLimitsMessage>(_list158.size);
+          @org.apache.thrift.annotation.Nullable PoolLimitsMessage _elem159;
+          for (int _i160 = 0; _i160 < _list158.size; ++_i160)
           {
-            _elem154 = new PoolLimitsMessage();
-            _elem154.read(iprot);
-            struct.limits.add(_elem154);
+            _elem159 = new PoolLimitsMessage();
+            _elem159.read(iprot);
+            struct.limits.add(_elem159);
           }
         }
         struct.setLimitsIsSet(true);
@@ -1352,6 +1500,20 @@
         struct.unfitForDuties = iprot.readBool();
         struct.setUnfitForDutiesIsSet(true);
       }
+      if (incoming.get(6)) {
+        {
+          org.apache.thrift.protocol.TList _list161 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.speeds = new java.util.ArrayList<EndpointSpeedMessage>(_list161.size);
+          @org.apache.thrift.annotation.Nullable EndpointSpeedMessage _elem162;
+          for (int _i163 = 0; _i163 < _list161.size; ++_i163)
+          {
+            _elem162 = new EndpointSpeedMessage();
+            _elem162.read(iprot);
+            struct.speeds.add(_elem162);
+          }
+        }
+        struct.setSpeedsIsSet(true);
+      }
     }
   }
 
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/RowContentMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/RowContentMessage.java
@@ -442,13 +442,13 @@
           case 2: // NUMBERS
             if (schemeField.type == org.apache.thrift.protocol.TType.SET) {
               {
-                org.apache.thrift.protocol.TSet _set156 = iprot.readSetBegin();
-                struct.numbers = new java.util.HashSet<java.lang.Long>(2*_set156.size);
-                long _elem157;
-                for (int _i158 = 0; _i158 < _set156.size; ++_i158)
+                org.apache.thrift.protocol.TSet _set164 = iprot.readSetBegin();
+                struct.numbers = new java.util.HashSet<java.lang.Long>(2*_set164.size);
+                long _elem165;
+                for (int _i166 = 0; _i166 < _set164.size; ++_i166)
                 {
-                  _elem157 = iprot.readI64();
-                  struct.numbers.add(_elem157);
+                  _elem165 = iprot.readI64();
+                  struct.numbers.add(_elem165);
                 }
                 iprot.readSetEnd();
               }
@@ -482,9 +482,9 @@
         oprot.writeFieldBegin(NUMBERS_FIELD_DESC);
         {
           oprot.writeSetBegin(new org.apache.thrift.protocol.TSet(org.apache.thrift.protocol.TType.I64, struct.numbers.size()));
-          for (long _iter159 : struct.numbers)
+          for (long _iter167 : struct.numbers)
           {
-            oprot.writeI64(_iter159);
+            oprot.writeI64(_iter167);
           }
           oprot.writeSetEnd();
         }
@@ -511,9 +511,9 @@
       oprot.writeBinary(struct.value);
       {
         oprot.writeI32(struct.numbers.size());
-        for (long _iter160 : struct.numbers)
+        for (long _iter168 : struct.numbers)
         {
-          oprot.writeI64(_iter160);
+          oprot.writeI64(_iter168);
         }
       }
     }
@@ -524,13 +524,13 @@
       struct.value = iprot.readBinary();
       struct.setValueIsSet(true);
       {
-        org.apache.thrift.protocol.TSet _set161 = iprot.readSetBegin(org.apache.thrift.protocol.TType.I64);
-        struct.numbers = new java.util.HashSet<java.lang.Long>(2*_set161.size);
-        long _elem162;
-        for (int _i163 = 0; _i163 < _set161.size; ++_i163)
+        org.apache.thrift.protocol.TSet _set169 = iprot.readSetBegin(org.apache.thrift.protocol.TType.I64);
+        struct.numbers = new java.util.HashSet<java.lang.Long>(2*_set169.size);
+        long _elem170;
+        for (int _i171 = 0; _i171 < _set169.size; ++_i171)
         {
-          _elem162 = iprot.readI64();
-          struct.numbers.add(_elem162);
+          _elem170 = iprot.readI64();
+          struct.numbers.add(_elem170);
         }
       }
       struct.setNumbersIsSet(true);
--- a/wagtailmux-peer/src/main/thrift/engine.thrift
+++ b/wagtailmux-peer/src/main/thrift/engine.thrift
@@ -147,6 +147,13 @@
   2: optional bool unfit
 }
 
+struct EndpointSpeedMessage {
+  1: required string pool
+  2: required string endpoint
+  3: required i64 startedAtMillis
+  4: required double workTime
+}
+
 struct PingMessage {
   1: required InstanceRecordMessage sender
   2: required i64 configurationVersion
@@ -157,6 +164,7 @@
   7: optional i64 dutyToken
   8: optional i64 wallLessStoreMilliseconds
   9: optional bool unfitForDuties
+  10: optional list<EndpointSpeedMessage> speeds
 }
 
 struct RowContentMessage {
