Keep errors of the duties from being lost, and single windows from holding up others

Read while reviewing the diff: an error in a handler of the store's answers stayed in its future, so that the lease waited for an answer for ever; handlers now run through UnexpectedErrors. LeaseKeeper is divided from DutyControl.

--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/duty/UsageReports.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/duty/UsageReports.java
@@ -75,6 +75,16 @@
 		return Math.floorMod(window, ROWS);
 	}
 
+	/**
+	 * Returns what stands for the contents of a row that cannot be decoded: a report on a
+	 * window long past, so that the next window of the row replaces it.
+	 * @param row the number of the row
+	 * @return the report
+	 */
+	public static UsageReport unreadable(int row) {
+		return new UsageReport(row - (long) ROWS, Map.of());
+	}
+
 	/**
 	 * Returns what to do next as the holder. What is returned counts as begun; nothing
 	 * further is returned until its outcome is passed in.
@@ -179,7 +189,7 @@
 	}
 
 	/**
-	 * Accepts that the receiver has taken a report.
+	 * Accepts that the receiver has taken a report, or has rejected it for good.
 	 * @param report the report
 	 */
 	public void onDelivered(UsageReport report) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/duty/CapacityOrdering.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/duty/CapacityOrdering.java
@@ -22,6 +22,7 @@
 import io.wagtailmux.engine.port.DutyCall;
 import io.wagtailmux.engine.port.DutyReceiver;
 import io.wagtailmux.engine.state.ServingView;
+import io.wagtailmux.engine.thread.UnexpectedErrors;
 import io.wagtailmux.model.AvailabilityZoneId;
 import io.wagtailmux.model.InstanceId;
 import io.wagtailmux.model.PoolId;
@@ -54,6 +55,8 @@
 
 	private final DutyMetrics metrics;
 
+	private final UnexpectedErrors errors;
+
 	private final Map<PoolId, DemandCollection> demands = new HashMap<>();
 
 	private final Map<PlanKey, CapacityPlan> plans = new HashMap<>();
@@ -61,12 +64,13 @@
 	private int openCalls;
 
 	CapacityOrdering(InstanceId self, DutyReceiver receiver, ScheduledExecutorService control, TimeSource time,
-			DutyMetrics metrics) {
+			DutyMetrics metrics, UnexpectedErrors errors) {
 		this.self = self;
 		this.receiver = receiver;
 		this.control = control;
 		this.time = time;
 		this.metrics = metrics;
+		this.errors = errors;
 	}
 
 	/**
@@ -125,23 +129,24 @@
 	private void send(DutyPermit permit, CapacityPlan plan, CapacityOrder order, CapacityState state) {
 		this.openCalls++;
 		DutyCall call = new DutyCall(this.self, permit.token(), () -> permit.holds(ClockReading.of(this.time)));
-		this.receiver.orderCapacity(call, order).whenCompleteAsync((accepted, failure) -> {
-			this.openCalls--;
-			LOG.atInfo()
-				.addKeyValue("pool", order.pool())
-				.addKeyValue("zone", order.zone())
-				.addKeyValue("endpoints", order.endpoints())
-				.addKeyValue("present", state.present())
-				.addKeyValue("evacuated", state.evacuated())
-				.addKeyValue("places", Math.round(state.places()))
-				.addKeyValue("token", permit.token())
-				.addKeyValue("outcome", (failure != null) ? failure.getMessage() : "accepted")
-				.log("capacity ordered");
-			this.metrics.recordOrder(failure == null);
-			if (failure == null) {
-				plan.onAccepted(order);
-			}
-		}, this.control);
+		this.receiver.orderCapacity(call, order)
+			.whenCompleteAsync((accepted, failure) -> this.errors.run("capacity ordered", () -> {
+				this.openCalls--;
+				LOG.atInfo()
+					.addKeyValue("pool", order.pool())
+					.addKeyValue("zone", order.zone())
+					.addKeyValue("endpoints", order.endpoints())
+					.addKeyValue("present", state.present())
+					.addKeyValue("evacuated", state.evacuated())
+					.addKeyValue("places", Math.round(state.places()))
+					.addKeyValue("token", permit.token())
+					.addKeyValue("outcome", (failure != null) ? failure.getMessage() : "accepted")
+					.log("capacity ordered");
+				this.metrics.recordOrder(failure == null);
+				if (failure == null) {
+					plan.onAccepted(order);
+				}
+			}), this.control);
 	}
 
 	/**
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/duty/DutyControl.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/duty/DutyControl.java
@@ -20,10 +20,8 @@
 import io.wagtailmux.decision.duty.Duty;
 import io.wagtailmux.decision.duty.DutyHolder;
 import io.wagtailmux.decision.duty.DutyLease;
-import io.wagtailmux.decision.duty.DutyLeaseRow;
 import io.wagtailmux.decision.duty.DutyPermit;
 import io.wagtailmux.decision.duty.FencingToken;
-import io.wagtailmux.decision.duty.LeaseStep;
 import io.wagtailmux.decision.duty.LeaseWish;
 import io.wagtailmux.decision.duty.TrueClock;
 import io.wagtailmux.decision.duty.UsageCollection;
@@ -31,19 +29,14 @@
 import io.wagtailmux.decision.ownership.DutyCandidate;
 import io.wagtailmux.engine.http.HttpClient;
 import io.wagtailmux.engine.port.DutyReceiver;
-import io.wagtailmux.engine.port.ProtocolException;
-import io.wagtailmux.engine.port.RowPage;
 import io.wagtailmux.engine.port.RowStore;
-import io.wagtailmux.engine.port.StoreErrorCode;
-import io.wagtailmux.engine.port.StoreException;
-import io.wagtailmux.engine.port.StoredRow;
 import io.wagtailmux.engine.state.InstancePeer;
 import io.wagtailmux.engine.thread.TrafficLoop;
+import io.wagtailmux.engine.thread.UnexpectedErrors;
 import io.wagtailmux.model.InstanceId;
 import io.wagtailmux.model.ModelException;
 import io.wagtailmux.model.OrganisationId;
 import io.wagtailmux.model.PoolId;
-import io.wagtailmux.model.StoreVersion;
 import io.wagtailmux.model.TimeSource;
 import io.wagtailmux.peer.wire.PingMessage;
 import io.wagtailmux.peer.wire.UsageConfirmationMessage;
@@ -61,10 +54,6 @@
 
 	private static final Logger LOG = LoggerFactory.getLogger(DutyControl.class);
 
-	private static final String TABLE = "duties";
-
-	private static final String LEASE_KEY = "lease";
-
 	/** Name by which instances are ranked. */
 	private static final String RANKING = "duties";
 
@@ -99,7 +88,7 @@
 
 	private final TrueClock trueClock = new TrueClock();
 
-	private final DutyLease lease;
+	private final LeaseKeeper lease;
 
 	private final UsageCounter counter;
 
@@ -119,8 +108,6 @@
 
 	private Optional<Duration> notFirstSince = Optional.empty();
 
-	private Optional<FencingToken> loggedToken = Optional.empty();
-
 	private boolean stopping;
 
 	private volatile HeartbeatFacts heartbeatFacts = new HeartbeatFacts(FencingToken.NONE, Optional.empty(), false);
@@ -153,12 +140,14 @@
 		this.control = control;
 		this.time = time;
 		this.metrics = new DutyMetrics(registry);
-		this.lease = new DutyLease(this.holder, settings.lease());
+		UnexpectedErrors errors = this.traffic.errors();
+		this.lease = new LeaseKeeper(new DutyLease(this.holder, settings.lease()), store, this.fitness, control, time,
+				errors);
 		this.collection = new UsageCollection(settings.usage());
 		this.counter = new UsageCounter(settings.usage(), this.trueClock.trueLessElapsed(ClockReading.of(time)));
 		this.usage = new UsageReporting(self.id(), settings.usage(), this.collection, store, receiver, control, time,
-				this.metrics);
-		this.capacity = new CapacityOrdering(self.id(), receiver, control, time, this.metrics);
+				this.metrics, errors);
+		this.capacity = new CapacityOrdering(self.id(), receiver, control, time, this.metrics, errors);
 		this.push = new UsagePush(this.holder, client);
 	}
 
@@ -251,12 +240,7 @@
 	}
 
 	private void runTick() {
-		try {
-			tick();
-		}
-		catch (RuntimeException ex) {
-			LOG.atError().setCause(ex).log("update of duties failed");
-		}
+		this.traffic.errors().run("update of duties", this::tick);
 	}
 
 	private void tick() {
@@ -268,13 +252,12 @@
 				.plus(UsagePush.interval(this.surroundings.possiblyAlive().size() + 1, this.settings.usage()));
 			pushCounts();
 		}
-		advanceLease(now);
+		this.lease.advance(now, wish(now.elapsed()), this.usage.isSending() || this.capacity.isSending());
 		this.lease.permit(now).ifPresent((permit) -> act(permit, offset));
 		this.heartbeatFacts = new HeartbeatFacts(this.lease.highestKnown(), this.trueClock.difference(now),
 				this.fitness.isUnfit());
 		this.metrics.update(this.lease.highestKnown().value(), this.lease.token().isPresent(),
 				this.lease.age(now).toMillis(), this.collection.openWindows());
-		logHolder(now);
 	}
 
 	private void act(DutyPermit permit, Duration trueLessElapsed) {
@@ -328,17 +311,6 @@
 		return this.fitness.fit(this.surroundings.alive(), this.time.elapsed());
 	}
 
-	private void advanceLease(ClockReading now) {
-		LeaseStep step = this.lease.next(now, wish(now.elapsed()), this.usage.isSending() || this.capacity.isSending());
-		if (step instanceof LeaseStep.Read) {
-			this.store.read(TABLE, LEASE_KEY).whenCompleteAsync(this::onLeaseRead, this.control);
-		}
-		else if (step instanceof LeaseStep.Write write) {
-			this.store.write(TABLE, LEASE_KEY, DutyMessages.encode(write.row()), write.expected())
-				.whenCompleteAsync((version, failure) -> onLeaseWritten(write.row(), version, failure), this.control);
-		}
-	}
-
 	/**
 	 * Returns whether this instance should hold the duties. An instance of higher rank
 	 * takes them over only after it has been there for a while.
@@ -362,64 +334,6 @@
 		return handsOver ? LeaseWish.RELEASE : LeaseWish.KEEP;
 	}
 
-	private void onLeaseRead(RowPage page, Throwable failure) {
-		ClockReading now = ClockReading.of(this.time);
-		if (failure != null) {
-			LOG.atWarn().addKeyValue("why", failure.getMessage()).log("could not read the lease of the duties");
-			this.fitness.onStoreFailure();
-			this.lease.onReadFailed(now);
-			return;
-		}
-		Optional<StoredRow> row = page.rows().stream().filter((found) -> found.key().equals(LEASE_KEY)).findFirst();
-		this.lease.onRead(row.flatMap(DutyControl::decode), row.map(StoredRow::version).orElse(StoreVersion.NONE),
-				page.version().era(), now);
-	}
-
-	private static Optional<DutyLeaseRow> decode(StoredRow row) {
-		try {
-			return Optional.of(DutyMessages.lease(row.value()));
-		}
-		catch (ProtocolException | ModelException ex) {
-			LOG.atWarn().addKeyValue("why", ex.getMessage()).log("lease of the duties not decoded");
-			return Optional.empty();
-		}
-	}
-
-	private void onLeaseWritten(DutyLeaseRow row, StoreVersion version, Throwable failure) {
-		ClockReading now = ClockReading.of(this.time);
-		if (failure == null) {
-			this.lease.onWritten(version, now);
-			return;
-		}
-		LOG.atWarn()
-			.addKeyValue("token", row.token())
-			.addKeyValue("released", row.released())
-			.addKeyValue("why", failure.getMessage())
-			.log("could not write the lease of the duties");
-		if (!isConflict(failure)) {
-			this.fitness.onStoreFailure();
-		}
-		this.lease.onWriteFailed(isConflict(failure), now);
-	}
-
-	private static boolean isConflict(Throwable failure) {
-		Throwable cause = (failure.getCause() != null) ? failure.getCause() : failure;
-		return cause instanceof StoreException store && store.code() == StoreErrorCode.CONFLICT;
-	}
-
-	private void logHolder(ClockReading now) {
-		Optional<FencingToken> token = this.lease.token();
-		if (token.equals(this.loggedToken)) {
-			return;
-		}
-		this.loggedToken = token;
-		LOG.atInfo()
-			.addKeyValue("held", token.isPresent())
-			.addKeyValue("token", this.lease.highestKnown())
-			.addKeyValue("ageMs", this.lease.age(now).toMillis())
-			.log("duties changed");
-	}
-
 	/**
 	 * What heartbeats tell other instances.
 	 *
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/duty/UsageReporting.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/duty/UsageReporting.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 
@@ -19,11 +20,14 @@
 import io.wagtailmux.decision.duty.UsageStep;
 import io.wagtailmux.decision.duty.UsageTiming;
 import io.wagtailmux.engine.port.DutyCall;
+import io.wagtailmux.engine.port.DutyErrorCode;
+import io.wagtailmux.engine.port.DutyException;
 import io.wagtailmux.engine.port.DutyReceiver;
 import io.wagtailmux.engine.port.ProtocolException;
 import io.wagtailmux.engine.port.RowPage;
 import io.wagtailmux.engine.port.RowStore;
 import io.wagtailmux.engine.port.StoredRow;
+import io.wagtailmux.engine.thread.UnexpectedErrors;
 import io.wagtailmux.model.InstanceId;
 import io.wagtailmux.model.ModelException;
 import io.wagtailmux.model.StoreVersion;
@@ -59,6 +63,8 @@
 
 	private final DutyMetrics metrics;
 
+	private final UnexpectedErrors errors;
+
 	private Set<InstanceId> expected = Set.of();
 
 	private Duration trueLessElapsed = Duration.ZERO;
@@ -66,7 +72,8 @@
 	private boolean sending;
 
 	UsageReporting(InstanceId self, UsageTiming timing, UsageCollection collection, RowStore store,
-			DutyReceiver receiver, ScheduledExecutorService control, TimeSource time, DutyMetrics metrics) {
+			DutyReceiver receiver, ScheduledExecutorService control, TimeSource time, DutyMetrics metrics,
+			UnexpectedErrors errors) {
 		this.self = self;
 		this.timing = timing;
 		this.collection = collection;
@@ -76,6 +83,7 @@
 		this.control = control;
 		this.time = time;
 		this.metrics = metrics;
+		this.errors = errors;
 	}
 
 	/**
@@ -123,7 +131,7 @@
 	}
 
 	private void read(FencingToken token, String from, List<FixedReport> found) {
-		this.store.read(TABLE, from).whenCompleteAsync((page, failure) -> {
+		this.store.read(TABLE, from).whenCompleteAsync((page, failure) -> this.errors.run("usage reports read", () -> {
 			if (failure != null) {
 				LOG.atWarn().addKeyValue("why", failure.getMessage()).log("could not read usage reports");
 				this.reports.onFailed(this.time.elapsed());
@@ -135,7 +143,7 @@
 				return;
 			}
 			this.reports.onRead(token, found, page.version().era(), sinceEpoch());
-		}, this.control);
+		}), this.control);
 	}
 
 	private static String firstKeyAfter(RowPage page) {
@@ -148,52 +156,65 @@
 		}
 		catch (ProtocolException | ModelException ex) {
 			LOG.atWarn().addKeyValue("key", row.key()).addKeyValue("why", ex.getMessage()).log("usage not decoded");
+			rowNumber(row)
+				.ifPresent((number) -> found.add(new FixedReport(UsageReports.unreadable(number), row.version())));
 		}
 	}
 
+	private static OptionalInt rowNumber(StoredRow row) {
+		return row.key().matches("\\d{2}") ? OptionalInt.of(Integer.parseInt(row.key())) : OptionalInt.empty();
+	}
+
+	private static boolean isRejected(Throwable failure) {
+		Throwable cause = (failure.getCause() != null) ? failure.getCause() : failure;
+		return cause instanceof DutyException duty && duty.code() == DutyErrorCode.REJECTED;
+	}
+
 	private void fix(UsageReport report, StoreVersion version) {
 		boolean complete = this.collection.isComplete(report.window(), this.expected);
 		String key = String.format("%02d", UsageReports.row(report.window()));
-		this.store.write(TABLE, key, DutyMessages.encode(report), version).whenCompleteAsync((written, failure) -> {
-			LOG.atInfo()
-				.addKeyValue("window", report.window())
-				.addKeyValue("requests", report.counts().values().stream().mapToLong(Long::longValue).sum())
-				.addKeyValue("organisations", report.counts().size())
-				.addKeyValue("complete", complete)
-				.addKeyValue("sinceEndMs", sinceEpoch().minus(this.timing.end(report.window())).toMillis())
-				.addKeyValue("outcome", (failure != null) ? failure.getMessage() : "row version " + written)
-				.log("usage report written");
-			if (failure != null) {
-				this.reports.onFixFailed(report, this.time.elapsed());
-				return;
-			}
-			this.metrics.recordFixed(complete);
-			this.reports.onFixed(report, written);
-		}, this.control);
+		this.store.write(TABLE, key, DutyMessages.encode(report), version)
+			.whenCompleteAsync((written, failure) -> this.errors.run("usage report written", () -> {
+				LOG.atInfo()
+					.addKeyValue("window", report.window())
+					.addKeyValue("requests", report.counts().values().stream().mapToLong(Long::longValue).sum())
+					.addKeyValue("organisations", report.counts().size())
+					.addKeyValue("complete", complete)
+					.addKeyValue("sinceEndMs", sinceEpoch().minus(this.timing.end(report.window())).toMillis())
+					.addKeyValue("outcome", (failure != null) ? failure.getMessage() : "row version " + written)
+					.log("usage report written");
+				if (failure != null) {
+					this.reports.onFixFailed(report, this.time.elapsed());
+					return;
+				}
+				this.metrics.recordFixed(complete);
+				this.reports.onFixed(report, written);
+			}), this.control);
 	}
 
 	private void send(DutyPermit permit, UsageReport report) {
 		this.sending = true;
 		DutyCall call = new DutyCall(this.self, permit.token(), () -> permit.holds(ClockReading.of(this.time)));
-		this.receiver.reportUsage(call, report).whenCompleteAsync((accepted, failure) -> {
-			this.sending = false;
-			Duration sinceEnd = sinceEpoch().minus(this.timing.end(report.window()));
-			LOG.atInfo()
-				.addKeyValue("window", report.window())
-				.addKeyValue("token", permit.token())
-				.addKeyValue("sinceEndMs", sinceEnd.toMillis())
-				.addKeyValue("outcome", (failure != null) ? failure.getMessage() : "accepted")
-				.log("usage report sent");
-			this.metrics.recordReport(failure == null);
-			if (failure != null) {
-				this.reports.onFailed(this.time.elapsed());
-				return;
-			}
-			if (sinceEnd.compareTo(this.timing.due()) > 0) {
-				this.metrics.recordLateReport();
-			}
-			this.reports.onDelivered(report);
-		}, this.control);
+		this.receiver.reportUsage(call, report)
+			.whenCompleteAsync((accepted, failure) -> this.errors.run("usage report sent", () -> {
+				this.sending = false;
+				Duration sinceEnd = sinceEpoch().minus(this.timing.end(report.window()));
+				LOG.atInfo()
+					.addKeyValue("window", report.window())
+					.addKeyValue("token", permit.token())
+					.addKeyValue("sinceEndMs", sinceEnd.toMillis())
+					.addKeyValue("outcome", (failure != null) ? failure.getMessage() : "accepted")
+					.log("usage report sent");
+				this.metrics.recordReport(failure == null);
+				if (failure != null) {
+					this.reports.onFailed(this.time.elapsed());
+					return;
+				}
+				if (sinceEnd.compareTo(this.timing.due()) > 0) {
+					this.metrics.recordLateReport();
+				}
+				this.reports.onDelivered(report);
+			}), this.control);
 	}
 
 }
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/port/DutyErrorCode.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/port/DutyErrorCode.java
@@ -10,6 +10,9 @@
 	/** The receiver refused the call for now, or was not reached. */
 	REFUSED,
 
+	/** The receiver will not take the call, however often it is made. */
+	REJECTED,
+
 	/** The permission to make the call had ended. */
 	NOT_HELD,
 
