Offer inputs later while calls reach their endpoints late

Traced: the owner of the last stage sent six calls of 22 KB at once over a link of 10 Mbit/s; they took 740 ms where 370 were expected, and the next ones reached their endpoints 300 ms after they were sent. Their inputs were offered after 90 ms, and released since room was short: 162 pieces in four calls. The time until an offer now includes the largest delay of recent calls, which halves with each second.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
@@ -17,6 +17,7 @@
 import io.wagtailmux.decision.ownership.PoolShard;
 import io.wagtailmux.decision.stage.BatchOutcome;
 import io.wagtailmux.decision.stage.BatchPlanner;
+import io.wagtailmux.decision.stage.CallDelay;
 import io.wagtailmux.decision.stage.PieceBatch;
 import io.wagtailmux.decision.stage.PieceId;
 import io.wagtailmux.decision.stage.PieceTicket;
@@ -42,8 +43,8 @@
 	private static final Duration SWEEP_INTERVAL = Duration.ofMillis(100);
 
 	/**
-	 * Time after which the inputs of a call count as read. A free endpoint reads them as
-	 * soon as it receives the call.
+	 * Time after which the inputs of a call count as read if calls are not delayed. A
+	 * free endpoint reads them as soon as it receives the call.
 	 */
 	private static final Duration INPUT_READING_TIME = Duration.ofMillis(90);
 
@@ -63,6 +64,8 @@
 
 	private final PieceSuspects suspects;
 
+	private final CallDelay callDelay = new CallDelay();
+
 	private final Consumer<List<ResultHandle>> release;
 
 	private long submissions;
@@ -232,9 +235,10 @@
 	}
 
 	private void scheduleInputOffer(OwnedGroup owned) {
+		Duration readingTime = INPUT_READING_TIME.plus(this.callDelay.current(now()));
 		owned.group()
 			.releasableInputPool()
-			.ifPresent((pool) -> this.context.loop().schedule("offer of inputs", INPUT_READING_TIME, () -> {
+			.ifPresent((pool) -> this.context.loop().schedule("offer of inputs", readingTime, () -> {
 				if (owned.allSent()) {
 					this.context.pieces().offer(pool, owned.group().inputs());
 				}
@@ -249,6 +253,7 @@
 		this.context.log().batchEnded(batch, batchOutcome, call.elapsed(now), expected, call.sentBytes(), failures);
 		this.context.metrics().recordPiecesNotMade(failures);
 		this.context.metrics().recordBatchEnd(call.elapsed(now), expected);
+		this.callDelay.onCallEnded(call.elapsed(now), expected, now);
 		boolean noRoomForAny = !pieceOutcomes.isEmpty() && pieceOutcomes.stream().allMatch(OwnedPool::isNoRoom);
 		this.planner.onBatchEnded(batch, noRoomForAny ? BatchOutcome.REFUSED : batchOutcome, call.elapsed(now), now);
 		if (call.brokenOff().isPresent()) {
