--- /dev/null
+++ b/review/src-2/review2/Main.java
@@ -0,0 +1,39 @@
+package review2;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.stream.Stream;
+
+/** Runs one case: exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+public final class Main {
+
+	private Main() {
+	}
+
+	public static void main(String[] arguments) throws IOException {
+		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+		Path folder = Files.createTempDirectory("review2");
+		int status = 2;
+		try {
+			Tools.recordTo(Path.of(arguments[1], "record.txt"));
+			boolean broken = switch (arguments[0]) {
+				case "large-bodies" -> new LargeBodies().run(folder, trouble);
+				default -> throw new IllegalArgumentException(arguments[0]);
+			};
+			status = broken ? 1 : 0;
+			Tools.record(broken ? "the rule was broken" : "the rule held");
+		}
+		catch (Exception ex) {
+			Tools.record("could not run: " + ex);
+		}
+		finally {
+			try (Stream<Path> files = Files.walk(folder)) {
+				files.sorted(Comparator.reverseOrder()).forEach((file) -> file.toFile().delete());
+			}
+		}
+		Runtime.getRuntime().halt(status);
+	}
+
+}
