--- a/review/src-2/review2/Main.java
+++ b/review/src-2/review2/Main.java
@@ -20,6 +20,7 @@
 			Tools.recordTo(Path.of(arguments[1], "record.txt"));
 			boolean broken = switch (arguments[0]) {
 				case "large-bodies" -> new LargeBodies().run(folder, trouble);
+				case "paged-read" -> new PagedRead().run(folder, trouble);
 				default -> throw new IllegalArgumentException(arguments[0]);
 			};
 			status = broken ? 1 : 0;
