--- a/review/src-2/review2/Worker.java
+++ b/review/src-2/review2/Worker.java
@@ -7,13 +7,17 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
 /** Stand-in of a worker: one request at a time on a channel, each answered by a script. */
 final class Worker implements AutoCloseable {
 
-	/** Answers one request that was read completely. */
+	/**
+	 * Answers one request that was read completely. The stream is the same for all
+	 * requests of a channel; an IOException closes the channel.
+	 */
 	interface Script {
 
 		void answer(Http.Head head, byte[] body, OutputStream out) throws Exception;
@@ -53,16 +57,17 @@
 	private void serve(Socket channel) throws Exception {
 		try (channel) {
 			BufferedInputStream in = new BufferedInputStream(channel.getInputStream(), 65_536);
+			OutputStream out = channel.getOutputStream();
 			Http.Head head = Http.head(in);
 			while (head != null) {
 				byte[] body = Http.body(in, head);
 				String expected = head.header("Wagtailmux-Expected-Instance");
 				if (!expected.isEmpty() && !expected.equals(this.id)) {
-					write(channel.getOutputStream(), 421, "", "Wagtailmux-Not-Executed: true\r\n", new byte[0]);
+					write(out, 421, "", "Wagtailmux-Not-Executed: true\r\n", new byte[0]);
 				}
 				else {
 					this.runs.merge(head.header("Wagtailmux-Attempt-Id"), 1, Integer::sum);
-					this.script.answer(head, body, channel.getOutputStream());
+					this.script.answer(head, body, out);
 				}
 				head = Http.head(in);
 			}
@@ -73,15 +78,18 @@
 	}
 
 	static void write(OutputStream out, int status, String attempt, String headers, byte[] body) throws IOException {
+		out.write(bytes(status, attempt, headers + "Content-Length: " + body.length + "\r\n", body));
+		out.flush();
+	}
+
+	/** Returns an answer; its further headers say where its body ends. */
+	static byte[] bytes(int status, String attempt, String headers, byte[] body) {
 		String text = "HTTP/1.1 " + status + " Status\r\nWagtailmux-Attempt-Id: " + attempt
-				+ "\r\nWagtailmux-Response-Signature: s." + attempt + "\r\n" + headers + "Content-Length: "
-				+ body.length + "\r\n\r\n";
+				+ "\r\nWagtailmux-Response-Signature: s." + attempt + "\r\n" + headers + "\r\n";
 		byte[] head = text.getBytes(StandardCharsets.ISO_8859_1);
-		byte[] all = new byte[head.length + body.length];
-		System.arraycopy(head, 0, all, 0, head.length);
+		byte[] all = Arrays.copyOf(head, head.length + body.length);
 		System.arraycopy(body, 0, all, head.length, body.length);
-		out.write(all);
-		out.flush();
+		return all;
 	}
 
 	/** Writes a stream of events with ids from 1 on. */
