--- a/review/src-2/review2/Main.java
+++ b/review/src-2/review2/Main.java
@@ -19,6 +19,7 @@
 		try {
 			Tools.recordTo(Path.of(arguments[1], "record.txt"));
 			boolean broken = switch (arguments[0]) {
+				case "answer-in-answer" -> new AnswerInAnswer().run(folder, trouble);
 				case "paged-read" -> new PagedRead().run(folder, trouble);
 				default -> throw new IllegalArgumentException(arguments[0]);
 			};
