--- a/review/src-2/review2/Instance.java
+++ b/review/src-2/review2/Instance.java
@@ -7,13 +7,18 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** An instance of the system, started as a process with the run command of the deploy file. */
 final class Instance implements AutoCloseable {
 
+	private static final Set<Process> STARTED = ConcurrentHashMap.newKeySet();
+
 	final String name;
 
 	final int frontPort;
@@ -26,6 +31,8 @@
 
 	private Process process;
 
+	private int descriptors;
+
 	Instance(String name, Store store, Path folder) throws IOException {
 		List<Integer> ports = Tools.freePorts(4);
 		this.name = name;
@@ -65,19 +72,42 @@
 				""".formatted(name, this.frontPort, this.readyPort, ports.get(2), ports.get(3), store.port()));
 	}
 
+	/** Gives the process as many descriptors as its machine has; without it there is no such limit. */
+	Instance descriptors(int number) {
+		this.descriptors = number;
+		return this;
+	}
+
+	/** Returns the number of open descriptors; zero if the process has ended. */
+	int openDescriptors() {
+		String[] names = new File("/proc/" + this.process.pid() + "/fd").list();
+		return (names != null) ? names.length : 0;
+	}
+
 	void start() throws IOException {
 		Matcher run = Pattern.compile("(?m)^run = \"(.*)\"$").matcher(Files.readString(Path.of("deploy/system.toml")));
 		if (!run.find()) {
 			throw new IOException("no run command in the deploy file");
 		}
-		ProcessBuilder builder = new ProcessBuilder(run.group(1).split(" ")).redirectErrorStream(true)
+		List<String> command = new ArrayList<>();
+		if (this.descriptors > 0) {
+			command.addAll(List.of("bash", "-c", "ulimit -n " + this.descriptors + " && exec \"$@\"", "bash"));
+		}
+		command.addAll(List.of(run.group(1).split(" ")));
+		ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
 			.redirectOutput(ProcessBuilder.Redirect.appendTo(this.log.toFile()));
 		builder.directory(new File("."));
 		builder.environment().put("WAGTAILMUX_SETTINGS", this.settings.toString());
 		this.process = builder.start();
+		STARTED.add(this.process);
 		Tools.record("started " + this.name);
 	}
 
+	/** Ends all processes, also when this program is ended from outside. */
+	static void endAll() {
+		STARTED.forEach(Process::destroyForcibly);
+	}
+
 	void signal(String signal) throws Exception {
 		new ProcessBuilder("kill", "-" + signal, Long.toString(this.process.pid())).start().waitFor();
 		Tools.record("sent SIG" + signal + " to " + this.name);
--- a/review/src-2/review2/Main.java
+++ b/review/src-2/review2/Main.java
@@ -16,10 +16,12 @@
 		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
 		Path folder = Files.createTempDirectory("review2");
 		int status = 2;
+		Runtime.getRuntime().addShutdownHook(new Thread(Instance::endAll));
 		try {
 			Tools.recordTo(Path.of(arguments[1], "record.txt"));
 			boolean broken = switch (arguments[0]) {
 				case "answer-in-answer" -> new AnswerInAnswer().run(folder, trouble);
+				case "worker-crashes" -> new WorkerCrashes().run(folder, trouble);
 				case "paged-read" -> new PagedRead().run(folder, trouble);
 				default -> throw new IllegalArgumentException(arguments[0]);
 			};
@@ -34,6 +36,7 @@
 				files.sorted(Comparator.reverseOrder()).forEach((file) -> file.toFile().delete());
 			}
 		}
+		Instance.endAll();
 		Runtime.getRuntime().halt(status);
 	}
 
--- a/review/src-2/review2/Tools.java
+++ b/review/src-2/review2/Tools.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Path;
@@ -19,6 +20,10 @@
 
 	private static PrintStream record = System.out;
 
+	private static final int LAST_PORT = 32_000;
+
+	private static int nextPort = 11_000 + (int) (ProcessHandle.current().pid() % 1000) * 20;
+
 	private static final long START = System.nanoTime();
 
 	private Tools() {
@@ -35,7 +40,7 @@
 
 	/** Runs a task on a daemon thread; failures of sockets end it silently. */
 	static Thread run(String name, Task task) {
-		Thread thread = new Thread(() -> {
+		Thread thread = new Thread(null, () -> {
 			try {
 				task.run();
 			}
@@ -45,22 +50,26 @@
 			catch (Exception ex) {
 				record("error in " + name + ": " + ex);
 			}
-		}, name);
+		}, name, 128 * 1024);
 		thread.setDaemon(true);
 		thread.start();
 		return thread;
 	}
 
-	static List<Integer> freePorts(int count) throws IOException {
-		List<ServerSocket> sockets = new ArrayList<>();
+	/** Returns free ports below those that the system gives to outgoing connections. */
+	static synchronized List<Integer> freePorts(int count) throws IOException {
 		List<Integer> ports = new ArrayList<>();
-		for (int index = 0; index < count; index++) {
-			ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-			sockets.add(socket);
-			ports.add(socket.getLocalPort());
-		}
-		for (ServerSocket socket : sockets) {
-			socket.close();
+		while (ports.size() < count) {
+			int port = nextPort++;
+			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+				ports.add(port);
+			}
+			catch (BindException ex) {
+				// In use; the next one is tried.
+			}
+			if (nextPort > LAST_PORT) {
+				throw new IOException("no free ports");
+			}
 		}
 		return ports;
 	}
