--- a/review/src-2/review2/PagedRead.java
+++ b/review/src-2/review2/PagedRead.java
@@ -2,6 +2,7 @@
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -145,7 +146,7 @@
 		return this.late.get() > 0;
 	}
 
-	private void serve(String id, Http.Head head, java.io.OutputStream out) throws Exception {
+	private void serve(String id, Http.Head head, OutputStream out) throws Exception {
 		this.workerOf.put(head.header("Wagtailmux-Attempt-Id"), id);
 		Long draining = this.drainingAt.get(id);
 		long now = System.nanoTime();
