--- a/review/src-2/review2/Instance.java
+++ b/review/src-2/review2/Instance.java
@@ -139,7 +139,7 @@
 	void awaitReady() throws Exception {
 		long until = System.nanoTime() + 30_000_000_000L;
 		while (!ready()) {
-			if (System.nanoTime() > until) {
+			if (System.nanoTime() > until || !alive()) {
 				throw new IOException(this.name + " did not get ready");
 			}
 			Thread.sleep(50);
--- a/review/src-2/review2/Main.java
+++ b/review/src-2/review2/Main.java
@@ -6,9 +6,15 @@
 import java.util.Comparator;
 import java.util.stream.Stream;
 
-/** Runs one case: exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+/**
+ * Runs one case: exits with 10 if the rule was broken, 0 if it held, 2 if the case could
+ * not run. Java itself exits with 1 if it cannot start a program, so that 1 says nothing;
+ * the scripts turn 10 into 1, and all else but 0 into 2.
+ */
 public final class Main {
 
+	private static final int BROKEN_STATUS = 10;
+
 	private Main() {
 	}
 
@@ -25,7 +31,7 @@
 				case "paged-read" -> new PagedRead().run(folder, trouble);
 				default -> throw new IllegalArgumentException(arguments[0]);
 			};
-			status = broken ? 1 : 0;
+			status = broken ? BROKEN_STATUS : 0;
 			Tools.record(broken ? "the rule was broken" : "the rule held");
 		}
 		catch (Exception ex) {
