--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
@@ -33,6 +33,7 @@
 import io.wagtailmux.engine.front.MetricsHandler;
 import io.wagtailmux.engine.front.ReadinessHandler;
 import io.wagtailmux.engine.front.RefusalsHandler;
+import io.wagtailmux.engine.http.Connector;
 import io.wagtailmux.engine.http.HttpClient;
 import io.wagtailmux.engine.peer.EvidenceSender;
 import io.wagtailmux.engine.peer.LimitMessages;
@@ -155,11 +156,13 @@
 	 * @param store creates the client of the store from the HTTP client
 	 * @param dutyReceiver creates the client of the receiver of duties from the HTTP
 	 * client; not used if the settings name no duties
+	 * @param connector opens all connections of this instance
 	 */
 	public EngineProcess(EngineSettings settings, CallerProtocol callers, EndpointProtocol endpoints, FactCodec facts,
-			Function<HttpClient, RowStore> store, Function<HttpClient, DutyReceiver> dutyReceiver) {
+			Function<HttpClient, RowStore> store, Function<HttpClient, DutyReceiver> dutyReceiver,
+			Connector connector) {
 		this.settings = settings;
-		HttpClient client = new HttpClient(this.traffic, this.time);
+		HttpClient client = new HttpClient(this.traffic, this.time, connector);
 		EngineMetrics metrics = new EngineMetrics(this.registry);
 		ServingState state = new ServingState(new DutyCandidate(settings.instance(), settings.capacity()),
 				settings.limits(), this.time,
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/HttpClient.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/HttpClient.java
@@ -44,12 +44,25 @@
 
 	private final Bootstrap bootstrap;
 
+	private final Connector connector;
+
 	/**
 	 * Creates a client without connections.
 	 * @param loop the loop for all connections, timers and notifications
 	 * @param time the clock that measures the idle time of connections
 	 */
 	public HttpClient(TrafficLoop loop, TimeSource time) {
+		this(loop, time, Connector.NETWORK);
+	}
+
+	/**
+	 * Creates a client without connections.
+	 * @param loop the loop for all connections, timers and notifications
+	 * @param time the clock that measures the idle time of connections
+	 * @param connector opens connections
+	 */
+	public HttpClient(TrafficLoop loop, TimeSource time, Connector connector) {
+		this.connector = connector;
 		this.loop = loop;
 		this.time = time;
 		this.bootstrap = TcpKeepAlive.applyTo(new Bootstrap().group(loop.eventLoop())
@@ -100,9 +113,8 @@
 	 * @param result called with the result, on the event loop
 	 */
 	public void checkListening(HttpDestination destination, Consumer<Listening> result) {
-		ChannelFuture connectFuture = this.bootstrap.clone()
-			.handler(new ChannelInboundHandlerAdapter())
-			.connect(destination.address());
+		ChannelFuture connectFuture = this.connector
+			.connect(this.bootstrap.clone().handler(new ChannelInboundHandlerAdapter()), destination.address());
 		connectFuture.addListener((ignored) -> {
 			connectFuture.channel().close();
 			result.accept(Listening.of(connectFuture));
@@ -119,7 +131,7 @@
 
 	private void connect(HttpDestination destination, ClientCall call) {
 		ClientConnection connection = new ClientConnection(destination, this.time, this.loop.errors());
-		ChannelFuture connectFuture = this.bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
+		Bootstrap opening = this.bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
 
 			@Override
 			protected void initChannel(SocketChannel channel) {
@@ -129,7 +141,8 @@
 					.addLast(connection);
 			}
 
-		}).connect(destination.address());
+		});
+		ChannelFuture connectFuture = this.connector.connect(opening, destination.address());
 		connectFuture.addListener((ignored) -> onConnected(connectFuture, connection, call));
 	}
 
