Reach endpoints through another instance while the own links have failed

While an owner of a stage pool was among those that were cut off, callers of all instances waited for pieces.

Cause: the instance that took a request is the only one that calls endpoints for it, and nothing concluded from its failed connections that the links of the instance had failed: each counted as the failure of one endpoint. The class: a resource that can be reached over one path only, without a judgement about the path.

Meanwhile new connections to endpoints are opened through another instance, which passes the bytes on and refuses endpoints that it would not call itself. All decisions about a call stay where they were. A refused connection is no longer evidence that an endpoint ended unless another endpoint is reached, and calls abandoned meanwhile are no evidence about a version on trial.

--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/placement/EndpointLoad.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/placement/EndpointLoad.java
@@ -169,6 +169,14 @@
 		this.suspension = (doubled.compareTo(MAXIMUM_SUSPENSION) < 0) ? doubled : MAXIMUM_SUSPENSION;
 	}
 
+	/**
+	 * Ends a suspension, since the failures that led to it were not the endpoint's.
+	 */
+	public void forgiveFailures() {
+		this.suspendedUntil = Duration.ZERO;
+		this.suspension = INITIAL_SUSPENSION;
+	}
+
 	/**
 	 * Updates the load with the figures that the endpoint reported. Requests beyond this
 	 * instance's own are counted as those of other instances.
--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/stage/BatchPlanner.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/stage/BatchPlanner.java
@@ -172,6 +172,14 @@
 		}
 	}
 
+	/**
+	 * Ends the pauses of all endpoints after failed calls, since the failures were not
+	 * theirs.
+	 */
+	public void forgiveFailures() {
+		this.endpoints.values().forEach(StageEndpointLoad::forgiveFailures);
+	}
+
 	/**
 	 * Updates the memory for results at an endpoint when results were freed or were not
 	 * produced.
--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/stage/StageEndpointLoad.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/stage/StageEndpointLoad.java
@@ -132,6 +132,11 @@
 		this.usedBytes = Math.max(0, this.usedBytes - bytes);
 	}
 
+	void forgiveFailures() {
+		this.pausedUntil = Duration.ZERO;
+		this.pauseAfterFailure = INITIAL_PAUSE_AFTER_FAILURE;
+	}
+
 	void onCallEnded(BatchOutcome outcome, Duration duration, Duration expected, Duration now) {
 		this.calls--;
 		if (outcome == BatchOutcome.ANSWERED) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineContext.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineContext.java
@@ -9,6 +9,7 @@
 import io.wagtailmux.decision.placement.PlainPlacement;
 import io.wagtailmux.engine.forward.CrashWatch;
 import io.wagtailmux.engine.forward.ResponseMemory;
+import io.wagtailmux.engine.http.EndpointLinks;
 import io.wagtailmux.engine.http.HttpClient;
 import io.wagtailmux.engine.port.CallerProtocol;
 import io.wagtailmux.engine.port.EndpointProtocol;
@@ -58,6 +59,8 @@
 
 	private PieceService pieces;
 
+	private EndpointLinks links = EndpointLinks.SOUND;
+
 	private Optional<UsageCounter> usage = Optional.empty();
 
 	/**
@@ -102,6 +105,23 @@
 		return this.pieces;
 	}
 
+	/**
+	 * Sets the links to the endpoints. Must be called once, before traffic starts.
+	 * @param endpointLinks the links
+	 */
+	public void links(EndpointLinks endpointLinks) {
+		this.links = endpointLinks;
+		this.client.links(endpointLinks);
+	}
+
+	/**
+	 * Returns the links to the endpoints.
+	 * @return the links; sound ones unless set
+	 */
+	public EndpointLinks links() {
+		return this.links;
+	}
+
 	/**
 	 * Sets the counter of requests that endpoints began to run. May be called once,
 	 * before traffic starts.
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
@@ -48,6 +48,8 @@
 import io.wagtailmux.engine.port.FactCodec;
 import io.wagtailmux.engine.port.ProtocolException;
 import io.wagtailmux.engine.port.RowStore;
+import io.wagtailmux.engine.relay.LinkMonitor;
+import io.wagtailmux.engine.relay.RelayServer;
 import io.wagtailmux.engine.stage.LocalPieceService;
 import io.wagtailmux.engine.state.ServingState;
 import io.wagtailmux.engine.state.ServingView;
@@ -126,6 +128,10 @@
 
 	private final PieceRouter router;
 
+	private final LinkMonitor links;
+
+	private final RelayServer relays;
+
 	private final CallerConnections connections;
 
 	private final ServingControl control;
@@ -172,6 +178,9 @@
 		this.localPieces = new LocalPieceService(this.context);
 		this.router = new PieceRouter(this.context, this.localPieces);
 		this.context.pieces(this.router);
+		this.links = new LinkMonitor(this.context, settings.zone(), this.localPieces::onLinksChanged);
+		this.context.links(this.links);
+		this.relays = new RelayServer(this.context, this.links);
 		this.connections = new CallerConnections(this.context);
 		this.context.crashWatch().onEnd(new EvidenceSender(this.context, this::pingMessage)::send);
 		this.self = new InstanceRecordMessage(settings.instance().value(), settings.peers().getHostString(),
@@ -271,7 +280,8 @@
 					.addLast(new HttpObjectAggregator(PEER_BODY_BYTES),
 							new PeerHandler(EngineProcess.this.localPieces, EngineProcess.this::pingMessage,
 									EngineProcess.this.control::knownTables, EngineProcess.this::mergeReports,
-									EngineProcess.this::onUsage, EngineProcess.this.traffic.errors()));
+									EngineProcess.this::onUsage, EngineProcess.this.relays::open,
+									EngineProcess.this.traffic.errors()));
 			}
 
 		};
@@ -388,6 +398,7 @@
 	private void applyView(ServingView view) {
 		this.context.state().updateView(view);
 		this.context.metrics().updateView(view);
+		this.links.onViewChanged();
 		this.router.onViewChanged();
 		this.localPieces.onViewChanged();
 		this.context.crashWatch().onViewChanged();
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/CrashWatch.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/CrashWatch.java
@@ -151,12 +151,12 @@
 
 	private void scheduleCheck(BrokenCalls calls) {
 		this.loop.schedule("check of an endpoint", CHECK_DELAY,
-				() -> this.client.checkListening(calls.endpoint.destination(), (result) -> onChecked(calls, result)));
+				() -> this.client.checkEnded(calls.endpoint.destination(), (result) -> onChecked(calls, result)));
 	}
 
 	private void onChecked(BrokenCalls calls, Listening result) {
 		switch (result) {
-			case YES -> {
+			case YES, NOT_REACHED -> {
 				this.broken.remove(calls.run);
 				conclude(calls, State.ALIVE);
 			}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ForwardCall.java
@@ -131,6 +131,7 @@
 			.body(this.exchange.body())
 			.timeout(this.exchange.remainingTime().plus(DEADLINE_SLACK))
 			.streamed()
+			.repeatable(repeatable)
 			.onlyIf(() -> this.endpoint.usable(now()))
 			.maxIdleTime(repeatable ? MAXIMUM_IDLE_TIME : NON_REPEATABLE_MAXIMUM_IDLE_TIME)
 			.responseFilter(this::isOwn)
@@ -432,7 +433,7 @@
 		if (this.firstByteReceived) {
 			recordIfSlow();
 		}
-		else {
+		else if (!this.context.links().cutOff()) {
 			this.exchange.pool()
 				.recordAbandonedCall(this.endpoint, this.exchange.route().name(), now().minus(this.startedAt));
 		}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientCall.java
@@ -30,6 +30,8 @@
 
 	private boolean sent;
 
+	private boolean answered;
+
 	private long receivedBytes;
 
 	ClientCall(OutgoingRequest request, ResponseListener listener, TrafficLoop loop) {
@@ -85,7 +87,26 @@
 		return this.sent;
 	}
 
+	/**
+	 * Returns whether the call still waits for the first byte of its response.
+	 * @return whether it has neither ended nor received a head
+	 */
+	public boolean silent() {
+		return !this.done && !this.answered;
+	}
+
+	/**
+	 * Ends the call as broken if its request may run more than once, since the links to
+	 * the endpoints have failed.
+	 */
+	public void breakIfRepeatable() {
+		if (this.request.repeatable()) {
+			fail(CallFailure.BROKEN, "links to the endpoints failed");
+		}
+	}
+
 	void onHead(HttpResponse response) {
+		this.answered = true;
 		if (this.request.streamed()) {
 			stopTimer();
 		}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientConnection.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientConnection.java
@@ -33,7 +33,8 @@
  * <p>
  * A response without a length ends with the connection. It is complete only if the
  * request was written before: the end of a connection that breaks during a write looks
- * like an orderly one.
+ * like an orderly one. It is never complete if another instance passes the bytes on,
+ * since the end of that instance closes the connection in the same way.
  *
  * <p>
  * The connection is reused only if the response was complete and its length known from
@@ -55,6 +56,10 @@
 
 	private final UnexpectedErrors errors;
 
+	private final EndpointLinks links;
+
+	private final boolean relayed;
+
 	private Channel channel;
 
 	private ClientCall call;
@@ -76,10 +81,21 @@
 
 	private Duration idleLimit = KeepAliveHeader.DEFAULT_IDLE_LIMIT;
 
-	ClientConnection(HttpDestination destination, TimeSource time, UnexpectedErrors errors) {
+	/**
+	 * Creates a connection that is not open yet.
+	 * @param destination the process at its remote end
+	 * @param time the clock
+	 * @param errors records errors that no code expects
+	 * @param links are told of the traffic with an endpoint
+	 * @param relayed whether another instance passes the bytes on
+	 */
+	ClientConnection(HttpDestination destination, TimeSource time, UnexpectedErrors errors, EndpointLinks links,
+			boolean relayed) {
 		this.destination = destination;
 		this.time = time;
 		this.errors = errors;
+		this.links = links;
+		this.relayed = relayed;
 	}
 
 	@Override
@@ -99,6 +115,13 @@
 		this.reusable = false;
 		nextCall.markSent(this);
 		this.requestWrite = this.channel.writeAndFlush(message);
+		if (reachesEndpoint()) {
+			this.links.onSent(nextCall);
+		}
+	}
+
+	private boolean reachesEndpoint() {
+		return !this.relayed && this.destination.target().isPresent();
 	}
 
 	boolean isOpen() {
@@ -185,6 +208,9 @@
 	}
 
 	private void onMessage(HttpObject message) {
+		if (reachesEndpoint()) {
+			this.links.onReceived();
+		}
 		if (this.call == null) {
 			close();
 			return;
@@ -214,7 +240,7 @@
 		}
 		this.endsWithConnection = !isFramed(response);
 		this.reusable = !this.endsWithConnection && HttpUtil.isKeepAlive(response)
-				&& !this.call.request().ownConnection();
+				&& !this.call.request().ownConnection() && !this.relayed;
 		this.idleLimit = KeepAliveHeader.idleLimit(response.headers());
 		this.call.onHead(response);
 	}
@@ -240,6 +266,10 @@
 			failCall(CallFailure.BROKEN, "the connection ended before the request was written");
 			return;
 		}
+		if (last && this.call == current && this.endsWithConnection && this.relayed) {
+			failCall(CallFailure.BROKEN, "the end of the response may be that of the other instance");
+			return;
+		}
 		if (last && this.call == current) {
 			this.call = null;
 			this.answered = current;
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/HttpClient.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/HttpClient.java
@@ -1,11 +1,14 @@
 package io.wagtailmux.engine.http;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -46,6 +49,8 @@
 
 	private final Connector connector;
 
+	private EndpointLinks links = EndpointLinks.SOUND;
+
 	/**
 	 * Creates a client without connections.
 	 * @param loop the loop for all connections, timers and notifications
@@ -71,6 +76,15 @@
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis()));
 	}
 
+	/**
+	 * Sets what is told of the connections to endpoints. Must be called before traffic
+	 * starts.
+	 * @param endpointLinks the links
+	 */
+	public void links(EndpointLinks endpointLinks) {
+		this.links = endpointLinks;
+	}
+
 	/**
 	 * Sends a request. Must be called on the event loop. The listener may be notified of
 	 * the end before this method returns. It is notified of any failure, also of an error
@@ -83,7 +97,8 @@
 	public ClientCall send(HttpDestination destination, OutgoingRequest request, ResponseListener listener) {
 		ClientCall call = new ClientCall(request, listener, this.loop);
 		call.startTimer();
-		Optional<ClientConnection> idle = destination.takeIdle(request.maxIdleTime(), this.time.elapsed());
+		Optional<ClientConnection> idle = needsRelay(destination) ? Optional.empty()
+				: destination.takeIdle(request.maxIdleTime(), this.time.elapsed());
 		if (idle.isPresent()) {
 			send(idle.get(), call);
 		}
@@ -113,14 +128,56 @@
 	 * @param result called with the result, on the event loop
 	 */
 	public void checkListening(HttpDestination destination, Consumer<Listening> result) {
-		ChannelFuture connectFuture = this.connector
-			.connect(this.bootstrap.clone().handler(new ChannelInboundHandlerAdapter()), destination.address());
+		ChannelFuture connectFuture = open(destination.address(), new ChannelInboundHandlerAdapter());
 		connectFuture.addListener((ignored) -> {
 			connectFuture.channel().close();
+			recordOpening(destination, connectFuture.isSuccess());
 			result.accept(Listening.of(connectFuture));
 		});
 	}
 
+	/**
+	 * Finds out whether an endpoint has ended, as {@link #checkListening} does. A refused
+	 * connection counts only if this instance reaches another endpoint.
+	 * @param destination the endpoint
+	 * @param result called with the result, on the event loop
+	 */
+	public void checkEnded(HttpDestination destination, Consumer<Listening> result) {
+		checkListening(destination, (found) -> {
+			if (destination.target().isEmpty() || found == Listening.YES) {
+				result.accept(found);
+			}
+			else if (this.links.cutOff()) {
+				result.accept(Listening.NOT_REACHED);
+			}
+			else if (found == Listening.REFUSED) {
+				this.links.confirmRefusal(destination.target().get(),
+						(reached) -> result.accept(reached ? Listening.REFUSED : Listening.NOT_REACHED));
+			}
+			else {
+				result.accept(found);
+			}
+		});
+	}
+
+	/**
+	 * Opens a connection for other bytes than those of calls.
+	 * @param address the remote address
+	 * @param handler handles the connection
+	 * @return completed with the outcome, after at most the time limit of an attempt
+	 */
+	public ChannelFuture open(InetSocketAddress address, ChannelHandler handler) {
+		return this.connector.connect(this.bootstrap.clone().handler(handler), address);
+	}
+
+	private void recordOpening(HttpDestination destination, boolean opened) {
+		destination.target().ifPresent(opened ? this.links::onOpened : this.links::onNotOpened);
+	}
+
+	private boolean needsRelay(HttpDestination destination) {
+		return destination.target().isPresent() && this.links.cutOff();
+	}
+
 	/**
 	 * Returns the loop that all calls belong to.
 	 * @return the loop
@@ -130,37 +187,80 @@
 	}
 
 	private void connect(HttpDestination destination, ClientCall call) {
-		ClientConnection connection = new ClientConnection(destination, this.time, this.loop.errors());
-		Bootstrap opening = this.bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
+		if (needsRelay(destination)) {
+			connectThroughRelay(destination, call);
+			return;
+		}
+		ClientConnection connection = newConnection(destination, false);
+		ChannelFuture connectFuture = open(destination.address(), new ChannelInitializer<SocketChannel>() {
 
 			@Override
 			protected void initChannel(SocketChannel channel) {
-				channel.pipeline()
-					.addLast(new ResponseDecoder(connection))
-					.addLast(new HttpRequestEncoder())
-					.addLast(connection);
+				addHandlers(channel, connection);
 			}
 
 		});
-		ChannelFuture connectFuture = this.connector.connect(opening, destination.address());
-		connectFuture.addListener((ignored) -> onConnected(connectFuture, connection, call));
+		connectFuture.addListener((ignored) -> onConnected(connectFuture, destination, connection, call));
 	}
 
-	private void onConnected(ChannelFuture connectFuture, ClientConnection connection, ClientCall call) {
+	private ClientConnection newConnection(HttpDestination destination, boolean relayed) {
+		return new ClientConnection(destination, this.time, this.loop.errors(), this.links, relayed);
+	}
+
+	private static void addHandlers(Channel channel, ClientConnection connection) {
+		channel.pipeline()
+			.addLast(new ResponseDecoder(connection))
+			.addLast(new HttpRequestEncoder())
+			.addLast(connection);
+	}
+
+	private void onConnected(ChannelFuture connectFuture, HttpDestination destination, ClientConnection connection,
+			ClientCall call) {
+		recordOpening(destination, connectFuture.isSuccess());
 		if (call.done()) {
 			connectFuture.channel().close();
 			return;
 		}
+		if (!connectFuture.isSuccess() && needsRelay(destination)) {
+			connectThroughRelay(destination, call);
+			return;
+		}
 		if (!connectFuture.isSuccess()) {
 			call.fail(CallFailure.NOT_SENT, String.valueOf(connectFuture.cause().getMessage()));
 			return;
 		}
+		sendIfWanted(connectFuture.channel(), connection, call);
+	}
+
+	private void sendIfWanted(Channel channel, ClientConnection connection, ClientCall call) {
 		if (!call.request().stillWanted()) {
-			connectFuture.channel().close();
+			channel.close();
 			call.fail(CallFailure.NOT_SENT, "not wanted any more when the connection was open");
 			return;
 		}
 		send(connection, call);
 	}
 
+	private void connectThroughRelay(HttpDestination destination, ClientCall call) {
+		this.links.openRelayed(destination.target().orElseThrow(), new RelayListener() {
+
+			@Override
+			public void onOpened(Channel channel) {
+				if (call.done()) {
+					channel.close();
+					return;
+				}
+				ClientConnection connection = newConnection(destination, true);
+				addHandlers(channel, connection);
+				sendIfWanted(channel, connection, call);
+			}
+
+			@Override
+			public void onFailed(String why) {
+				call.fail(CallFailure.NOT_SENT, why);
+			}
+
+		});
+	}
+
 }
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/HttpDestination.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/HttpDestination.java
@@ -16,16 +16,38 @@
 
 	private final InetSocketAddress address;
 
+	private final Optional<EndpointTarget> target;
+
 	private final Deque<ClientConnection> idle = new ArrayDeque<>();
 
 	private boolean closed;
 
 	/**
-	 * Creates a destination without connections.
+	 * Creates a destination without connections that is no endpoint.
 	 * @param address the address that the process listens on
 	 */
 	public HttpDestination(InetSocketAddress address) {
 		this.address = address;
+		this.target = Optional.empty();
+	}
+
+	/**
+	 * Creates a destination without connections that is an endpoint. Another instance can
+	 * reach it for this one.
+	 * @param address the address that the endpoint listens on
+	 * @param target the endpoint
+	 */
+	public HttpDestination(InetSocketAddress address, EndpointTarget target) {
+		this.address = address;
+		this.target = Optional.of(target);
+	}
+
+	/**
+	 * Returns the endpoint that this destination stands for.
+	 * @return the endpoint; empty for another kind of process
+	 */
+	Optional<EndpointTarget> target() {
+		return this.target;
 	}
 
 	/**
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/Listening.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/Listening.java
@@ -18,6 +18,9 @@
 	/** Its machine refuses connections to the address: the process has ended. */
 	REFUSED,
 
+	/** This instance reaches no endpoint, so that the attempt tells nothing. */
+	NOT_REACHED,
+
 	/** There was no answer, so that the process or the network may have failed. */
 	UNKNOWN;
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/OutgoingRequest.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/OutgoingRequest.java
@@ -40,6 +40,8 @@
 
 	private final boolean ownConnection;
 
+	private final boolean repeatable;
+
 	private final BooleanSupplier condition;
 
 	private final int maximumResponseBytes;
@@ -54,6 +56,7 @@
 		this.responseFilter = builder.responseFilter;
 		this.streamed = builder.streamed;
 		this.ownConnection = builder.ownConnection;
+		this.repeatable = builder.repeatable;
 		this.condition = builder.condition;
 		this.maximumResponseBytes = builder.maximumResponseBytes;
 	}
@@ -112,6 +115,10 @@
 		return this.ownConnection;
 	}
 
+	boolean repeatable() {
+		return this.repeatable;
+	}
+
 	boolean stillWanted() {
 		return this.condition.getAsBoolean();
 	}
@@ -150,6 +157,8 @@
 
 		private boolean ownConnection;
 
+		private boolean repeatable;
+
 		private BooleanSupplier condition = () -> true;
 
 		private int maximumResponseBytes = DEFAULT_MAXIMUM_RESPONSE_BYTES;
@@ -253,6 +262,17 @@
 			return this;
 		}
 
+		/**
+		 * Declares that the request may run more than once, so that its sender does not
+		 * have to wait for an answer that may never come.
+		 * @param repeatable whether it may; false unless set
+		 * @return this builder
+		 */
+		public Builder repeatable(boolean repeatable) {
+			this.repeatable = repeatable;
+			return this;
+		}
+
 		/**
 		 * Sets the size of the largest response body. A response with more is abandoned,
 		 * and the call fails as {@link CallFailure#MALFORMED}.
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PeerHandler.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PeerHandler.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -30,6 +31,7 @@
 import io.wagtailmux.peer.wire.KnownTablesMessage;
 import io.wagtailmux.peer.wire.PieceGroupMessage;
 import io.wagtailmux.peer.wire.PingMessage;
+import io.wagtailmux.peer.wire.RelayMessage;
 import io.wagtailmux.peer.wire.UsageConfirmationMessage;
 import io.wagtailmux.peer.wire.UsagePushMessage;
 
@@ -57,6 +59,8 @@
 
 	private final Function<UsagePushMessage, UsageConfirmationMessage> onUsage;
 
+	private final BiConsumer<ChannelHandlerContext, RelayMessage> onRelay;
+
 	private final UnexpectedErrors errors;
 
 	private Runnable cancellation = NO_ACTION;
@@ -70,11 +74,14 @@
 	 * on the traffic thread
 	 * @param onEvidence receives what another instance has just learned
 	 * @param onUsage receives the counts of another instance and confirms them
+	 * @param onRelay connects another instance with an endpoint and answers it
 	 * @param errors records errors that no code expects
 	 */
 	public PeerHandler(LocalPieceService pieceService, Supplier<PingMessage> pingMessage,
 			Supplier<CompletableFuture<KnownTablesMessage>> knownTables, Consumer<PingMessage> onEvidence,
-			Function<UsagePushMessage, UsageConfirmationMessage> onUsage, UnexpectedErrors errors) {
+			Function<UsagePushMessage, UsageConfirmationMessage> onUsage,
+			BiConsumer<ChannelHandlerContext, RelayMessage> onRelay, UnexpectedErrors errors) {
+		this.onRelay = onRelay;
 		this.errors = errors;
 		this.pieceService = pieceService;
 		this.pingMessage = pingMessage;
@@ -123,6 +130,9 @@
 			this.knownTables.get()
 				.whenCompleteAsync((known, failure) -> answerFacts(context, known, failure), context.executor());
 		}
+		else if (path.equals(PeerPath.RELAY.path())) {
+			this.onRelay.accept(context, ThriftCodec.decode(request.content(), new RelayMessage()));
+		}
 		else if (path.equals(PeerPath.PIECES.path())) {
 			submitPieces(context, ThriftCodec.decode(request.content(), new PieceGroupMessage()));
 		}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PeerPath.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PeerPath.java
@@ -22,6 +22,9 @@
 	/** Accepts the counts of requests of another instance. */
 	USAGE("/usage"),
 
+	/** Passes the bytes of the connection on to an endpoint. */
+	RELAY("/relay"),
+
 	/** Heartbeat: returns the state of the instance. */
 	PING("/ping");
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/BatchCall.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/BatchCall.java
@@ -81,6 +81,7 @@
 			.timeout(timeout)
 			.maximumResponseBytes(MAXIMUM_RESPONSE_BYTES)
 			.ownConnection()
+			.repeatable(true)
 			.onlyIf(() -> this.endpoint.usable(this.context.time().elapsed()))
 			.build();
 		this.sentBytes = request.bodyBytes();
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/LocalPieceService.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/LocalPieceService.java
@@ -136,6 +136,14 @@
 		this.pools.values().forEach(OwnedPool::onEndpointsChanged);
 	}
 
+	/**
+	 * Handles that the links of this instance to the endpoints failed or were restored:
+	 * endpoints that could not be reached get calls again.
+	 */
+	public void onLinksChanged() {
+		this.pools.values().forEach(OwnedPool::onLinksChanged);
+	}
+
 	private Optional<OwnedPool> ownedPool(PoolShard shard) {
 		Optional<PoolTraffic> traffic = this.context.state().pool(shard.pool());
 		Optional<BatchCapacity> capacity = traffic.flatMap((found) -> found.pool().batch());
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
@@ -143,6 +143,14 @@
 		sendBatches();
 	}
 
+	/**
+	 * Sends waiting pieces after the links of this instance failed or were restored.
+	 */
+	void onLinksChanged() {
+		this.planner.forgiveFailures();
+		sendBatches();
+	}
+
 	private void cancel(OwnedGroup owned) {
 		owned.cancel();
 		for (int piece : owned.group().pieces()) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/LiveEndpoint.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/LiveEndpoint.java
@@ -12,6 +12,7 @@
 import io.wagtailmux.decision.share.ColdShare;
 import io.wagtailmux.decision.share.NamedLimit;
 import io.wagtailmux.decision.share.RateShare;
+import io.wagtailmux.engine.http.EndpointTarget;
 import io.wagtailmux.engine.http.HttpDestination;
 import io.wagtailmux.engine.port.StatedLimit;
 import io.wagtailmux.model.serving.RegisteredEndpoint;
@@ -53,7 +54,8 @@
 		this.coldShare = coldShare;
 		this.entry = entry;
 		this.load = load;
-		this.destination = new HttpDestination(entry.address());
+		this.destination = new HttpDestination(entry.address(),
+				new EndpointTarget(entry.pool(), entry.id(), entry.startedAtMillis(), entry.zone()));
 	}
 
 	/**
--- a/wagtailmux-peer/src/main/thrift/engine.thrift
+++ b/wagtailmux-peer/src/main/thrift/engine.thrift
@@ -190,3 +190,9 @@
 struct KnownTablesMessage {
   1: required list<KnownTableMessage> tables
 }
+
+struct RelayMessage {
+  1: required string pool
+  2: required string endpoint
+  3: required i64 startedAtMillis
+}
