Take no head with a status outside the protocol for a response

Cause: the client reported any three digits as a status. Forwarded calls failed on 000 by a later check, but statuses from 600 on were passed on, and calls with pieces, of the store, of other instances and of duties had no check of their own.

Change: one check in the connection of the client, which all of them use; the call fails as malformed, so that nothing is said about whether it ran.

Measured: StatusOutsideProtocolTests failed 6 of 8 rows before and passes now. An early answer without a length whose connection is reset was broken before already (UnframedResponseTests, 8 of 8).

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientConnection.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/http/ClientConnection.java
@@ -224,6 +224,10 @@
 				failCall(CallFailure.MALFORMED, "the head contains the status line of another one");
 				return;
 			}
+			if (!ResponseHead.hasStatusOfProtocol(response)) {
+				failCall(CallFailure.MALFORMED, "the status " + response.status().code() + " is none of the protocol");
+				return;
+			}
 			onHead(response);
 		}
 		if (message instanceof HttpContent content) {
