Ask several endpoints before a refused connection tells nothing

Cause: a refused connection counts as the end of an endpoint only if this instance reaches another one, and one other endpoint was asked. Among the endpoints that are registered some had ended as well, and their refusal was taken for a failure of the instance's links, so that the evidence was dropped.

Change: three endpoints are asked at the same time, first those that have not failed lately; one that answers suffices.

CrashingPieceTests, PromptPartCrashTests and CutOffInstanceTests pass.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/relay/LinkMonitor.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/relay/LinkMonitor.java
@@ -40,6 +40,9 @@
 
 	private static final Logger LOG = LoggerFactory.getLogger("decision");
 
+	/** Several, since others may have ended and still be registered. */
+	private static final int CONFIRMING_PROBES = 3;
+
 	private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
 
 	private final EngineContext context;
@@ -120,15 +123,16 @@
 
 	@Override
 	public void confirmRefusal(EndpointTarget target, Consumer<Boolean> result) {
-		Optional<LiveEndpoint> other = probeTargets().stream()
+		List<LiveEndpoint> others = probeTargets().stream()
 			.filter((endpoint) -> !endpoint.entry().id().equals(target.endpoint()))
-			.findFirst();
-		if (other.isEmpty()) {
+			.limit(CONFIRMING_PROBES)
+			.toList();
+		if (others.isEmpty()) {
 			result.accept(true);
 			return;
 		}
-		this.context.client()
-			.checkListening(other.get().destination(), (found) -> result.accept(found == Listening.YES));
+		Confirmation confirmation = new Confirmation(others.size(), result);
+		others.forEach((other) -> this.context.client().checkListening(other.destination(), confirmation::onProbed));
 	}
 
 	@Override
@@ -210,7 +214,7 @@
 	private List<LiveEndpoint> probeTargets() {
 		Map<LiveEndpoint, Double> order = new HashMap<>();
 		liveEndpoints().stream().filter((endpoint) -> endpoint.usable(now())).forEach((endpoint) -> {
-			boolean failed = this.reach.failedLately(endpoint.entry().id());
+			boolean failed = this.reach.failedLately(endpoint.entry().id()) || endpoint.load().suspended(now());
 			order.put(endpoint, this.context.random().nextDouble() + (failed ? 1 : 0));
 		});
 		return order.entrySet().stream().sorted(Map.Entry.comparingByValue()).map(Map.Entry::getKey).toList();
@@ -229,4 +233,31 @@
 		return this.context.time().elapsed();
 	}
 
+	/**
+	 * Outcome of several probes, of which one that succeeds suffices.
+	 */
+	private static final class Confirmation {
+
+		private final Consumer<Boolean> result;
+
+		private int open;
+
+		private boolean told;
+
+		Confirmation(int probes, Consumer<Boolean> result) {
+			this.open = probes;
+			this.result = result;
+		}
+
+		void onProbed(Listening found) {
+			this.open--;
+			boolean reached = found == Listening.YES;
+			if (!this.told && (reached || this.open == 0)) {
+				this.told = true;
+				this.result.accept(reached);
+			}
+		}
+
+	}
+
 }
