Send a brittle endpoint no more requests at the same time than it runs

No source read the statement.

Change: BrittleShare divides the places of such an endpoint among the instances (docs/design/limits.md).

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/port/EndpointAnswer.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/port/EndpointAnswer.java
@@ -15,10 +15,12 @@
  * @param limit the limit that the endpoint names
  * @param leaving whether the endpoint states that its process is leaving
  * @param awayTime the time to stay away that the endpoint names with a refusal
+ * @param brittle whether the endpoint states that it falls over if it has to turn many
+ * requests away
  * @author the wagtailmux developers
  */
 public record EndpointAnswer(int status, boolean notRun, boolean signed, boolean transformed,
-		Optional<ReportedLoad> load, StatedLimit limit, boolean leaving, StatedAwayTime awayTime) {
+		Optional<ReportedLoad> load, StatedLimit limit, boolean leaving, StatedAwayTime awayTime, boolean brittle) {
 
 	/**
 	 * Returns whether this is a successful response that may be forwarded to the caller.
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/EndpointStatements.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/EndpointStatements.java
@@ -54,6 +54,7 @@
 		}
 		answer.load().ifPresent((load) -> recordLoad(endpoint, load, now));
 		endpoint.recordStatedLimit(answer.limit(), now);
+		endpoint.recordBrittle(answer.brittle(), now);
 		if (answer.leaving() && endpoint.availability().recordLeaving()) {
 			this.metrics.recordEndpointLeaving();
 			event(endpoint, answer, call).log("endpoint leaves");
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/LiveEndpoint.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/LiveEndpoint.java
@@ -9,6 +9,7 @@
 
 import io.wagtailmux.decision.availability.EndpointAvailability;
 import io.wagtailmux.decision.placement.EndpointLoad;
+import io.wagtailmux.decision.share.BrittleShare;
 import io.wagtailmux.decision.share.ColdShare;
 import io.wagtailmux.decision.share.NamedLimit;
 import io.wagtailmux.decision.share.RateShare;
@@ -39,6 +40,8 @@
 
 	private final RateShare limitShare;
 
+	private final BrittleShare brittleShare;
+
 	private final EndpointAvailability availability;
 
 	private RegisteredEndpoint entry;
@@ -48,7 +51,8 @@
 	private boolean usable;
 
 	LiveEndpoint(RegisteredEndpoint entry, EndpointLoad load, ColdShare coldShare, RateShare limitShare,
-			EndpointAvailability availability) {
+			BrittleShare brittleShare, EndpointAvailability availability) {
+		this.brittleShare = brittleShare;
 		this.availability = availability;
 		this.limitShare = limitShare;
 		this.coldShare = coldShare;
@@ -108,6 +112,24 @@
 		return this.availability;
 	}
 
+	BrittleShare brittleShare() {
+		return this.brittleShare;
+	}
+
+	/**
+	 * Records whether an answer says that the endpoint is brittle.
+	 * @param stated whether it does
+	 * @param now the elapsed time
+	 */
+	void recordBrittle(boolean stated, Duration now) {
+		if (this.brittleShare.record(stated, now)) {
+			LOG.atInfo()
+				.addKeyValue("endpoint", this.entry.id())
+				.addKeyValue("brittle", stated)
+				.log("brittleness of endpoint changed");
+		}
+	}
+
 	ColdShare coldShare() {
 		return this.coldShare;
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/PoolTraffic.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/PoolTraffic.java
@@ -24,6 +24,7 @@
 import io.wagtailmux.decision.rollout.StreamPace;
 import io.wagtailmux.decision.rollout.TrialSampler;
 import io.wagtailmux.decision.rollout.VersionEvidence;
+import io.wagtailmux.decision.share.BrittleShare;
 import io.wagtailmux.decision.share.ColdShare;
 import io.wagtailmux.decision.share.RateShare;
 import io.wagtailmux.decision.share.RetryBudgetShare;
@@ -340,6 +341,7 @@
 	 */
 	public void onCallStarted(LiveEndpoint endpoint, Duration now) {
 		this.namedLimits.recordCall(endpoint);
+		endpoint.brittleShare().recordCall();
 		if (coldLimited(endpoint, now)) {
 			endpoint.coldShare().tryAcquire(coldRate(), instances(), rank(endpoint), now);
 		}
@@ -356,7 +358,7 @@
 			LiveEndpoint live = before.get(entry.id());
 			if (live == null || !live.sameProcess(entry)) {
 				live = new LiveEndpoint(entry, createLoad(entry), new ColdShare(sharePhase(entry.id())),
-						new RateShare(sharePhase(entry.id())),
+						new RateShare(sharePhase(entry.id())), new BrittleShare(sharePhase(entry.id())),
 						this.availabilities.of(new EndpointRun(entry.id(), entry.startedAtMillis())));
 			}
 			live.update(entry, nextView.usable(entry), now);
@@ -417,10 +419,17 @@
 			.filter((endpoint) -> endpoint.usable(now))
 			.filter((endpoint) -> endpoint.load().inFlight() < connectionLimit())
 			.filter((endpoint) -> this.namedLimits.allows(endpoint, now))
+			.filter((endpoint) -> hasRoomIfBrittle(endpoint, now))
 			.filter((endpoint) -> !coldLimited(endpoint, now)
 					|| endpoint.coldShare().available(coldRate(), instances(), rank(endpoint), now));
 	}
 
+	private boolean hasRoomIfBrittle(LiveEndpoint endpoint, Duration now) {
+		EndpointLoad load = endpoint.load();
+		return !endpoint.brittleShare().brittle(now) || endpoint.brittleShare()
+			.allows(load.inFlight(), load.slots(), instances(), rank(endpoint), load.serviceTime(now), now);
+	}
+
 	private EndpointLoad createLoad(RegisteredEndpoint entry) {
 		long cacheTokens = this.pool.engine().map(EngineCapacity::cacheTokens).orElse(0L);
 		return new EndpointLoad(entry.id(), entry.zone(), entry.slots(), EXPECTED_SERVICE_TIME, cacheTokens);
