Close connections that carry a single message

Cause: news of an ended endpoint, counts for the holder of duties and releases to an address without a registered endpoint go to a destination that is made for one message; its connection was kept for a next message that never comes.

Change: such a message has a connection of its own, which is closed after its answer.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/duty/UsagePush.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/duty/UsagePush.java
@@ -86,6 +86,7 @@
 		OutgoingRequest request = OutgoingRequest.of(HttpMethod.POST, PeerPath.USAGE.path())
 			.body(ThriftCodec.encode(message))
 			.timeout(TIMEOUT)
+			.ownConnection()
 			.build();
 		PeerResponseListener listener = new PeerResponseListener(
 				(body) -> onConfirmed.accept(ThriftCodec.decode(body, new UsageConfirmationMessage())),
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/EvidenceSender.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/EvidenceSender.java
@@ -73,6 +73,7 @@
 			OutgoingRequest request = OutgoingRequest.of(HttpMethod.POST, PeerPath.EVIDENCE.path())
 				.body(Unpooled.wrappedBuffer(body))
 				.timeout(TIMEOUT)
+				.ownConnection()
 				.build();
 			PeerResponseListener call = new PeerResponseListener((answer) -> {
 			}, (why) -> LOG.atDebug().addKeyValue("instance", peer.id()).addKeyValue("why", why).log("not told"));
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/LocalPieceService.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/LocalPieceService.java
@@ -177,8 +177,9 @@
 				return;
 			}
 			List<ResultHandle> handles = results.stream().map(ReleasedResult::handle).toList();
-			OutgoingRequest request = this.context.endpoints().free(handles).timeout(RELEASE_TIMEOUT).build();
 			Optional<LiveEndpoint> endpoint = endpoint(address);
+			OutgoingRequest.Builder release = this.context.endpoints().free(handles).timeout(RELEASE_TIMEOUT);
+			OutgoingRequest request = (endpoint.isPresent() ? release : release.ownConnection()).build();
 			HttpDestination destination = endpoint.map(LiveEndpoint::destination)
 				.orElseGet(() -> new HttpDestination(address));
 			this.context.client().send(destination, request, new ReleaseListener(results, endpoint));
