Count only registered endpoints as a failure of an instance's links

Cause, from the soak's logs: two endpoints of a small deployment ended and were started again within a second; an endpoint that was not registered any more counted with one that was as all endpoints, so that two instances took their links for failed.

Change: failures of endpoints that are not registered are ignored, and forgotten with the registration.

--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/reach/EndpointReach.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/reach/EndpointReach.java
@@ -1,7 +1,6 @@
 package io.wagtailmux.decision.reach;
 
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -51,22 +50,20 @@
 
 	private final Set<EndpointId> reachedInRow = new HashSet<>();
 
-	private Set<AvailabilityZoneId> zones = Set.of();
-
-	private int endpoints;
+	private Map<EndpointId, AvailabilityZoneId> registered = Map.of();
 
 	private boolean cutOff;
 
 	private Duration probedAt = SILENCE_PROBE_INTERVAL.negated();
 
 	/**
-	 * Sets which endpoints are registered. With fewer endpoints or zones than the
-	 * decision asks for, all of them must fail.
-	 * @param registered the availability zone of each endpoint
+	 * Sets which endpoints are registered. Only those count; with fewer endpoints or
+	 * zones than the decision asks for, all of them must fail.
+	 * @param endpoints the availability zone of each endpoint
 	 */
-	public void updateEndpoints(Collection<AvailabilityZoneId> registered) {
-		this.endpoints = registered.size();
-		this.zones = Set.copyOf(registered);
+	public void updateEndpoints(Map<EndpointId, AvailabilityZoneId> endpoints) {
+		this.registered = Map.copyOf(endpoints);
+		this.failures.keySet().retainAll(endpoints.keySet());
 	}
 
 	/**
@@ -80,7 +77,7 @@
 			return false;
 		}
 		this.reachedInRow.add(endpoint);
-		this.cutOff = this.reachedInRow.size() < Math.min(SUCCESSES_TO_RETURN, this.endpoints);
+		this.cutOff = this.reachedInRow.size() < Math.min(SUCCESSES_TO_RETURN, this.registered.size());
 		return !this.cutOff;
 	}
 
@@ -94,13 +91,16 @@
 	public boolean recordNotReached(EndpointId endpoint, AvailabilityZoneId zone, Duration now) {
 		this.reachedInRow.clear();
 		this.failures.values().removeIf((failure) -> now.minus(failure.at()).compareTo(FAILURE_LIFETIME) > 0);
+		if (!this.registered.containsKey(endpoint)) {
+			return false;
+		}
 		this.failures.put(endpoint, new Failure(zone, now));
 		if (this.cutOff) {
 			return false;
 		}
 		long failedZones = this.failures.values().stream().map(Failure::zone).distinct().count();
-		this.cutOff = this.failures.size() >= Math.min(FAILURES_TO_CONCLUDE, this.endpoints)
-				&& failedZones >= Math.min(2, this.zones.size());
+		this.cutOff = this.failures.size() >= Math.min(FAILURES_TO_CONCLUDE, this.registered.size())
+				&& failedZones >= Math.min(2, Set.copyOf(this.registered.values()).size());
 		return this.cutOff;
 	}
 
--- a/wagtailmux-decision/src/test/java/io/wagtailmux/decision/reach/EndpointReachTests.java
+++ b/wagtailmux-decision/src/test/java/io/wagtailmux/decision/reach/EndpointReachTests.java
@@ -1,8 +1,9 @@
 package io.wagtailmux.decision.reach;
 
 import java.time.Duration;
-import java.util.Collections;
-import java.util.List;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.BeforeEach;
@@ -31,7 +32,9 @@
 
 	@BeforeEach
 	void register() {
-		this.reach.updateEndpoints(List.of(NORTH, NORTH, NORTH, NORTH, SOUTH, SOUTH, SOUTH, SOUTH));
+		Map<EndpointId, AvailabilityZoneId> endpoints = new HashMap<>();
+		IntStream.range(0, 16).forEach((index) -> endpoints.put(endpoint(index), (index % 2 == 0) ? SOUTH : NORTH));
+		this.reach.updateEndpoints(endpoints);
 	}
 
 	@Test
@@ -75,7 +78,7 @@
 	@ParameterizedTest
 	@CsvSource({ "1, 1", "2, 2", "3, 3", "8, 3" })
 	void withFewEndpointsAllOfThemMustFail(int endpoints, int failures) {
-		this.reach.updateEndpoints(Collections.nCopies(endpoints, NORTH));
+		this.reach.updateEndpoints(registered(endpoints));
 		for (int index = 1; index <= failures; index++) {
 			assertThat(this.reach.recordNotReached(endpoint(index), NORTH, NOW)).isEqualTo(index == failures);
 		}
@@ -132,6 +135,26 @@
 		assertThat(now.plus(attempt).minus(NOW)).isLessThan(Duration.ofSeconds(3));
 	}
 
+	/**
+	 * Guards against endpoints of a small deployment that end and start again, which were
+	 * taken for a failure of the links.
+	 */
+	@Test
+	void endpointsThatAreNotRegisteredAnyMoreDoNotCount() {
+		this.reach.updateEndpoints(registered(3));
+		this.reach.recordNotReached(endpoint(1), NORTH, NOW);
+		this.reach.updateEndpoints(Map.of(endpoint(2), NORTH, endpoint(3), NORTH));
+		assertThat(this.reach.recordNotReached(endpoint(2), NORTH, NOW)).isFalse();
+		assertThat(this.reach.recordNotReached(endpoint(1), NORTH, NOW)).as("not registered").isFalse();
+		assertThat(this.reach.recordNotReached(endpoint(3), NORTH, NOW)).isTrue();
+	}
+
+	private static Map<EndpointId, AvailabilityZoneId> registered(int count) {
+		return IntStream.rangeClosed(1, count)
+			.boxed()
+			.collect(Collectors.toMap(EndpointReachTests::endpoint, (number) -> NORTH));
+	}
+
 	private void cutOff() {
 		this.reach.recordNotReached(endpoint(1), NORTH, NOW);
 		this.reach.recordNotReached(endpoint(2), SOUTH, NOW);
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/relay/LinkMonitor.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/relay/LinkMonitor.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -80,7 +81,8 @@
 	 * Handles a change of the serving view.
 	 */
 	public void onViewChanged() {
-		this.reach.updateEndpoints(liveEndpoints().stream().map((endpoint) -> endpoint.entry().zone()).toList());
+		this.reach.updateEndpoints(liveEndpoints().stream()
+			.collect(Collectors.toMap((endpoint) -> endpoint.entry().id(), (endpoint) -> endpoint.entry().zone())));
 	}
 
 	@Override
