Take no run of crashes for a failure of an instance's links

Cause, from its log: three endpoints that the request had ended in turn, with no connection opened in between, counted as a failure of the links; reports of their ends were dropped meanwhile.

Change: five endpoints in a row, more than such a request ends in turn. With connections that hang it is noticed after 2.3 s instead of 1.6 s, calculated; the bound of three seconds in the test is unchanged.

Measured: EndpointReachTests (a row for three ends in turn, which failed by its bound before) and CutOffInstanceTests 9 of 9 pass.

--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/reach/EndpointReach.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/reach/EndpointReach.java
@@ -25,8 +25,11 @@
  */
 public final class EndpointReach {
 
-	/** Endpoints in a row that could not be reached before this instance is cut off. */
-	private static final int FAILURES_TO_CONCLUDE = 3;
+	/**
+	 * Endpoints in a row that could not be reached before this instance is cut off; more
+	 * than the three that a request may end in turn.
+	 */
+	private static final int FAILURES_TO_CONCLUDE = 5;
 
 	/** Endpoints in a row that were reached before the links count as restored. */
 	private static final int SUCCESSES_TO_RETURN = 2;
