--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/admission/Admission.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/admission/Admission.java
@@ -6,11 +6,14 @@
 
 /**
  * Admission control: refuses requests that are not expected to be answered by their
- * deadline.
+ * deadline, and those that would be late only because of the work that goes first.
  *
  * <p>
  * Under overload, a request that misses its deadline uses capacity that other requests
- * need, and its answer is useless to the caller. Retry times have random jitter, so that
+ * need, and its answer is useless to the caller. While more arrives than a stage bears,
+ * the queue would grow until all requests are late, although the same work would serve a
+ * part of them in time; so what would not meet its target is refused at once. Nothing is
+ * refused for its target where it would not wait. Retry times have random jitter, so that
  * callers that were refused together do not retry together. Not safe for use by several
  * threads unless the source of random numbers is.
  *
@@ -30,6 +33,20 @@
 		this.random = random;
 	}
 
+	/**
+	 * Decides whether a request with stages is admitted.
+	 * @param plan the expected times of the stages
+	 * @param untilTarget the time until its answer should start
+	 * @param untilDeadline the time until its deadline
+	 * @return the time after which to retry if the request is refused; empty if it is
+	 * admitted
+	 */
+	public Optional<Duration> evaluate(ChainPlan plan, Duration untilTarget, Duration untilDeadline) {
+		boolean reachable = plan.shortestFinish().compareTo(untilTarget) <= 0;
+		Optional<Duration> refused = evaluate(plan.expectedFinish(), untilDeadline);
+		return (refused.isPresent() || !reachable) ? refused : evaluate(plan.finishBehindOthers(), untilTarget);
+	}
+
 	/**
 	 * Decides whether a request is admitted.
 	 * @param expectedFinish the time from now until its answer is expected
--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/admission/ChainPlan.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/admission/ChainPlan.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.IntStream;
@@ -18,12 +19,13 @@
 	/** Estimated waits can be wrong by this much. */
 	private static final Duration EARLY_MARGIN = Duration.ofMillis(200);
 
+	/** By how much the wait of one stage may exceed its estimate. */
+	private static final Duration WAIT_TOLERANCE = Duration.ofMillis(100);
+
 	private final List<ChainStep> steps;
 
 	private final Duration answerTime;
 
-	private final List<Duration> ends = new ArrayList<>();
-
 	/**
 	 * Creates the plan.
 	 * @param steps the stages, in an order in which each follows its dependencies
@@ -32,9 +34,6 @@
 	public ChainPlan(List<ChainStep> steps, Duration answerTime) {
 		this.steps = List.copyOf(steps);
 		this.answerTime = answerTime;
-		for (ChainStep step : this.steps) {
-			this.ends.add(latestEnd(step.dependencies()).plus(step.time()));
-		}
 	}
 
 	/**
@@ -42,7 +41,50 @@
 	 * @return the time from now, including all expected waits
 	 */
 	public Duration expectedFinish() {
-		return this.ends.stream().max(Duration::compareTo).orElse(Duration.ZERO).plus(this.answerTime);
+		return finish(ChainStep::time);
+	}
+
+	/**
+	 * Returns when the answer is expected if nothing waits.
+	 * @return the time from now
+	 */
+	public Duration shortestFinish() {
+		return finish(ChainStep::work);
+	}
+
+	/**
+	 * Returns when the answer is expected, with those waits only that are caused by work
+	 * that goes first.
+	 * @return the time from now
+	 */
+	Duration finishBehindOthers() {
+		return finish(ChainStep::timeBehindOthers);
+	}
+
+	/**
+	 * Returns how long the first stage of a request may wait at a pool that has more to
+	 * do than it bears, so that later stages still have time for what their estimates may
+	 * be wrong by.
+	 * @param step the index of the stage
+	 * @param untilTarget the time until the answer should start
+	 * @return the longest wait; empty if the target cannot be met without any wait either
+	 */
+	public Optional<Duration> longestWait(int step, Duration untilTarget) {
+		if (shortestFinish().compareTo(untilTarget) > 0) {
+			return Optional.empty();
+		}
+		Duration tolerance = WAIT_TOLERANCE.multipliedBy(stagesAfter(step));
+		Duration longest = untilTarget.minus(timeFromStart(step)).minus(tolerance);
+		return Optional.of(longest.isNegative() ? Duration.ZERO : longest);
+	}
+
+	private int stagesAfter(int step) {
+		return IntStream.range(step + 1, this.steps.size())
+			.filter((next) -> this.steps.get(next).dependencies().contains(step))
+			.filter((next) -> !this.steps.get(next).work().isZero())
+			.map((next) -> 1 + stagesAfter(next))
+			.max()
+			.orElse(0);
 	}
 
 	/**
@@ -89,7 +131,7 @@
 	 * stage with its wait and a margin
 	 */
 	public boolean wouldFinishEarly(int step, Set<Integer> ended) {
-		Duration own = this.steps.get(step).waiting().plus(timeFromStart(step)).plus(EARLY_MARGIN);
+		Duration own = this.steps.get(step).waiting().time().plus(timeFromStart(step)).plus(EARLY_MARGIN);
 		return IntStream.range(0, this.steps.size())
 			.filter((other) -> other != step && !ended.contains(other))
 			.anyMatch((other) -> timeFromStart(other).compareTo(own) > 0);
@@ -110,8 +152,13 @@
 		return longest;
 	}
 
-	private Duration latestEnd(List<Integer> dependencies) {
-		return dependencies.stream().map(this.ends::get).max(Duration::compareTo).orElse(Duration.ZERO);
+	private Duration finish(Function<ChainStep, Duration> timeOf) {
+		List<Duration> ends = new ArrayList<>();
+		for (ChainStep step : this.steps) {
+			Duration start = step.dependencies().stream().map(ends::get).max(Duration::compareTo).orElse(Duration.ZERO);
+			ends.add(start.plus(timeOf.apply(step)));
+		}
+		return ends.stream().max(Duration::compareTo).orElse(Duration.ZERO).plus(this.answerTime);
 	}
 
 }
--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/admission/ChainStep.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/admission/ChainStep.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.List;
 
+import io.wagtailmux.model.serving.BatchCapacity;
+
 /**
  * Stage of a request with its expected times.
  *
@@ -12,7 +14,7 @@
  * @param work how long the work is expected to take once started
  * @author the wagtailmux developers
  */
-public record ChainStep(List<Integer> dependencies, Duration waiting, Duration work) {
+public record ChainStep(List<Integer> dependencies, ExpectedWait waiting, Duration work) {
 
 	/**
 	 * Copies the list of dependencies.
@@ -21,8 +23,25 @@
 		dependencies = List.copyOf(dependencies);
 	}
 
+	/**
+	 * Returns the step of a stage whose pieces run in batches.
+	 * @param dependencies the indexes of the steps that must end before
+	 * @param pieces the number of its pieces
+	 * @param capacity the capacity of an endpoint
+	 * @param waiting how long the pieces are expected to wait
+	 * @return the step, whose calls are full: while more pieces arrive than the pool
+	 * bears they are, and a request that starts at the last moment has no time to spare
+	 */
+	public static ChainStep of(List<Integer> dependencies, int pieces, BatchCapacity capacity, ExpectedWait waiting) {
+		return new ChainStep(dependencies, waiting, capacity.expectedTime(Math.max(pieces, capacity.maximumPieces())));
+	}
+
 	Duration time() {
-		return this.waiting.plus(this.work);
+		return this.waiting.time().plus(this.work);
+	}
+
+	Duration timeBehindOthers() {
+		return this.waiting.ahead().plus(this.work);
 	}
 
 }
--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/stage/BatchPlanner.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/stage/BatchPlanner.java
@@ -204,13 +204,28 @@
 		return load != null && load.freeResultBytes() < load.bytesOfFullCall();
 	}
 
+	/**
+	 * Returns the estimated time for which a new piece would wait if it were sent after
+	 * all others.
+	 * @param now the elapsed time
+	 * @return the estimate, as {@link #expectedWait(PieceUrgency, Duration)} returns it
+	 */
+	public Duration expectedWait(Duration now) {
+		return timeToStart(this.waiting.size(), now);
+	}
+
 	/**
 	 * Returns the estimated time for which a new piece would wait until its call starts.
+	 * @param piece the urgency of the piece
 	 * @param now the elapsed time
 	 * @return the estimate; if all usable endpoints stay away, the time until the first
 	 * one returns; one minute if no endpoint is usable
 	 */
-	public Duration expectedWait(Duration now) {
+	public Duration expectedWait(PieceUrgency piece, Duration now) {
+		return timeToStart(this.waiting.ahead(piece, now), now);
+	}
+
+	private Duration timeToStart(int ahead, Duration now) {
 		List<StageEndpointLoad> usable = this.endpoints.values().stream().filter(StageEndpointLoad::usable).toList();
 		if (usable.isEmpty()) {
 			return NO_ENDPOINT_WAIT;
@@ -220,15 +235,15 @@
 			return timeUntilReturn(now);
 		}
 		boolean free = usable.stream().anyMatch((load) -> load.available(now));
-		if (free && this.waiting.size() < this.capacity.maximumPieces()) {
+		if (free && ahead < this.capacity.maximumPieces()) {
 			return Duration.ZERO;
 		}
-		double calls = this.waiting.size() / (double) this.capacity.maximumPieces();
+		double calls = ahead / (double) this.capacity.maximumPieces();
 		Duration call = this.capacity.expectedTime(this.capacity.maximumPieces());
 		// Half a call is added for the calls in flight if no endpoint is free.
 		double callsAhead = calls / working.size() + (free ? 0 : 0.5 / working.size());
 		Duration planned = Duration.ofNanos((long) (call.toNanos() * callsAhead));
-		Duration observed = this.throughput.timeFor(this.waiting.size(), now);
+		Duration observed = this.throughput.timeFor(ahead, now);
 		return (observed.compareTo(planned) > 0) ? observed : planned;
 	}
 
--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/stage/PieceQueue.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/stage/PieceQueue.java
@@ -29,6 +29,9 @@
  */
 final class PieceQueue {
 
+	/** Pieces whose urgencies differ by less are counted together. */
+	private static final Duration URGENCY_STEP = Duration.ofMillis(50);
+
 	/** One level of priority outweighs this much slack. */
 	private static final Duration PRIORITY_STEP = Duration.ofMillis(150);
 
@@ -42,6 +45,11 @@
 	private final TreeSet<Waiting> byDeadline = new TreeSet<>(
 			Comparator.comparing((Waiting each) -> each.ticket().deadline()).thenComparingLong(Waiting::number));
 
+	/**
+	 * How many pieces that can still meet their target time wait, by steps of urgency.
+	 */
+	private final TreeMap<Long, Integer> timelyByUrgency = new TreeMap<>();
+
 	/** How many pieces wait, by the size of their results in bytes. */
 	private final TreeMap<Long, Integer> resultSizes = new TreeMap<>();
 
@@ -55,6 +63,43 @@
 		return this.waiting.isEmpty();
 	}
 
+	/**
+	 * Returns how many of the pieces can still meet their target time.
+	 * @param now the elapsed time
+	 * @return the number
+	 */
+	int timely(Duration now) {
+		int timely = 0;
+		for (Lane lane : this.lanes.values()) {
+			lane.update(now);
+			timely += lane.timely.size();
+		}
+		return timely;
+	}
+
+	/**
+	 * Counts the pieces that would be sent before a new one.
+	 * @param piece the urgency of the new piece
+	 * @param now the elapsed time
+	 * @return the number, without those that arrive after it
+	 */
+	int ahead(PieceUrgency piece, Duration now) {
+		if (piece.slack().isNegative()) {
+			return size();
+		}
+		this.lanes.values().forEach((lane) -> lane.update(now));
+		long last = step(urgency(now.plus(piece.slack()), piece.priority()));
+		return this.timelyByUrgency.headMap(last, true).values().stream().mapToInt(Integer::intValue).sum();
+	}
+
+	private static Duration urgency(Duration latestStart, int priority) {
+		return latestStart.plus(PRIORITY_STEP.multipliedBy(priority));
+	}
+
+	private static long step(Duration urgency) {
+		return Math.floorDiv(urgency.toNanos(), URGENCY_STEP.toNanos());
+	}
+
 	/**
 	 * Adds a piece.
 	 * @param ticket the piece; it replaces a waiting piece with the same id
@@ -80,11 +125,14 @@
 		}
 		this.lanes.get(removed.ticket().home()).remove(removed);
 		this.byDeadline.remove(removed);
-		this.resultSizes.computeIfPresent(removed.ticket().resultBytes(),
-				(ignored, count) -> (count > 1) ? count - 1 : null);
+		decrement(this.resultSizes, removed.ticket().resultBytes());
 		return true;
 	}
 
+	private static void decrement(Map<Long, Integer> counts, long key) {
+		counts.computeIfPresent(key, (ignored, count) -> (count > 1) ? count - 1 : null);
+	}
+
 	/**
 	 * Removes the pieces whose deadline is earlier than a time.
 	 * @param time the elapsed time
@@ -155,7 +203,7 @@
 	/**
 	 * The pieces whose results are read in one availability zone.
 	 */
-	private static final class Lane {
+	private final class Lane {
 
 		private final TreeSet<Waiting> timely = new TreeSet<>(BY_URGENCY);
 
@@ -167,19 +215,26 @@
 		void add(Waiting added) {
 			this.timely.add(added);
 			this.timelyByLatestStart.add(added);
+			PieceQueue.this.timelyByUrgency.merge(step(added.urgency()), 1, Integer::sum);
 		}
 
 		void remove(Waiting removed) {
+			if (!this.late.remove(removed)) {
+				this.timelyByLatestStart.remove(removed);
+				removeTimely(removed);
+			}
+		}
+
+		private void removeTimely(Waiting removed) {
 			this.timely.remove(removed);
-			this.timelyByLatestStart.remove(removed);
-			this.late.remove(removed);
+			decrement(PieceQueue.this.timelyByUrgency, step(removed.urgency()));
 		}
 
 		void update(Duration now) {
 			while (!this.timelyByLatestStart.isEmpty()
 					&& this.timelyByLatestStart.first().ticket().latestStart().compareTo(now) < 0) {
 				Waiting first = this.timelyByLatestStart.pollFirst();
-				this.timely.remove(first);
+				removeTimely(first);
 				this.late.add(first);
 			}
 		}
@@ -234,7 +289,7 @@
 	private record Waiting(PieceTicket ticket, long number) {
 
 		Duration urgency() {
-			return this.ticket.latestStart().plus(PRIORITY_STEP.multipliedBy(this.ticket.priority()));
+			return PieceQueue.urgency(this.ticket.latestStart(), this.ticket.priority());
 		}
 
 	}
--- a/wagtailmux-decision/src/test/java/io/wagtailmux/decision/stage/BatchPlannerCostTests.java
+++ b/wagtailmux-decision/src/test/java/io/wagtailmux/decision/stage/BatchPlannerCostTests.java
@@ -108,6 +108,18 @@
 
 		},
 
+		/** An instance is told how long a new piece would wait. */
+		ESTIMATE {
+
+			@Override
+			Optional<PieceBatch> play(BatchPlanner planner, PieceBatch last, PieceTicket arrived, Duration now) {
+				Duration slack = arrived.latestStart().minus(now);
+				assertThat(planner.expectedWait(new PieceUrgency(arrived.priority(), slack), now)).isPositive();
+				return Optional.of(last);
+			}
+
+		},
+
 		/** A call ends, its endpoint gets the next one, and its pieces come again. */
 		END_OF_CALL {
 
--- a/wagtailmux-decision/src/test/java/io/wagtailmux/decision/stage/BatchPlannerTests.java
+++ b/wagtailmux-decision/src/test/java/io/wagtailmux/decision/stage/BatchPlannerTests.java
@@ -83,6 +83,25 @@
 		assertThat(single.next(NOW).orElseThrow().pieces()).containsExactly(expected.equals("first") ? first : second);
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "0, 100, 0", "0, 900, 8", "2, 650, 8", "2, 500, 0", "0, 2000, 16", "0, -1, 20" })
+	void onlyPiecesThatGoFirstCountForAWait(int priority, long slackMillis, int ahead) {
+		addAndSend(1);
+		addAndSend(1);
+		Duration before = this.planner.expectedWait(new PieceUrgency(0, Duration.ZERO), NOW);
+		for (int index = 0; index < 8; index++) {
+			this.planner.add(ticket(0, 850, Optional.empty()));
+			this.planner.add(ticket(0, 1500, Optional.of(NORTH)));
+		}
+		for (int index = 0; index < 4; index++) {
+			this.planner.add(ticket(0, -10, Optional.empty()));
+		}
+		Duration wait = this.planner.expectedWait(new PieceUrgency(priority, Duration.ofMillis(slackMillis)), NOW);
+		double calls = ahead / 4.0 / 2;
+		long callNanos = CAPACITY.expectedTime(4).toNanos();
+		assertThat(wait.minus(before)).isEqualTo(Duration.ofNanos((long) (callNanos * calls)));
+	}
+
 	@Test
 	void anEndpointIsShortOfRoomOnceAFullCallWouldNotFit() {
 		this.planner.updateEndpoints(Map.of(this.northern, NORTH));
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ChainPlanner.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/ChainPlanner.java
@@ -6,14 +6,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 
 import io.wagtailmux.decision.admission.ChainPlan;
 import io.wagtailmux.decision.admission.ChainStep;
+import io.wagtailmux.decision.admission.ExpectedWait;
 import io.wagtailmux.decision.placement.HomeZone;
+import io.wagtailmux.decision.stage.PieceUrgency;
 import io.wagtailmux.engine.EngineContext;
 import io.wagtailmux.engine.port.CallerRequest;
 import io.wagtailmux.engine.state.PoolTraffic;
 import io.wagtailmux.model.AvailabilityZoneId;
+import io.wagtailmux.model.serving.BatchCapacity;
 import io.wagtailmux.model.serving.Route;
 import io.wagtailmux.model.serving.RouteStage;
 import io.wagtailmux.model.serving.ServingPool;
@@ -37,18 +41,27 @@
 
 	private final PoolTraffic pool;
 
+	private final int priority;
+
+	private final Duration target;
+
 	/**
 	 * Creates the planner of one request.
 	 * @param context the shared objects of the engine
 	 * @param route the route of the request
 	 * @param request the values that the caller stated
 	 * @param pool the pool that answers the request after its stages
+	 * @param priority the priority of the request; zero is the most urgent
+	 * @param target the elapsed time by which the response should start
 	 */
-	ChainPlanner(EngineContext context, Route route, CallerRequest request, PoolTraffic pool) {
+	ChainPlanner(EngineContext context, Route route, CallerRequest request, PoolTraffic pool, int priority,
+			Duration target) {
 		this.context = context;
 		this.route = route;
 		this.request = request;
 		this.pool = pool;
+		this.priority = priority;
+		this.target = target;
 	}
 
 	/**
@@ -56,26 +69,32 @@
 	 * @return the plan, with durations from now
 	 */
 	ChainPlan plan() {
+		Duration idleFinish = plan((stage) -> ExpectedWait.NONE).expectedFinish();
+		Duration slack = this.target.minus(this.context.time().elapsed()).minus(idleFinish);
+		PieceUrgency urgency = new PieceUrgency(this.priority, slack);
+		return plan((stage) -> this.context.pieces().expectedWait(stage.pool(), urgency));
+	}
+
+	private ChainPlan plan(Function<RouteStage, ExpectedWait> waiting) {
 		List<ChainStep> steps = new ArrayList<>();
 		for (int index = 0; index < this.route.stages().size(); index++) {
-			steps.add(step(index, this.route.stages().get(index)));
+			steps.add(step(index, this.route.stages().get(index), waiting));
 		}
 		Duration last = this.route.stages().isEmpty() ? Duration.ZERO : ENGINE_TIME;
 		return new ChainPlan(steps, last);
 	}
 
-	private ChainStep step(int index, RouteStage stage) {
+	private ChainStep step(int index, RouteStage stage, Function<RouteStage, ExpectedWait> waiting) {
 		int count = (index < this.request.pieces().size()) ? this.request.pieces().get(index) : 0;
-		if (count == 0) {
-			return new ChainStep(stage.dependencies(), Duration.ZERO, Duration.ZERO);
-		}
-		Duration work = this.context.state()
+		Optional<BatchCapacity> capacity = this.context.state()
 			.pool(stage.pool())
 			.map(PoolTraffic::pool)
-			.flatMap(ServingPool::batch)
-			.map((batch) -> batch.expectedTime(Math.max(count, batch.maximumPieces() / 2)))
-			.orElse(Duration.ZERO);
-		return new ChainStep(stage.dependencies(), this.context.pieces().expectedWait(stage.pool()), work);
+			.flatMap(ServingPool::batch);
+		if (count == 0 || capacity.isEmpty()) {
+			return new ChainStep(stage.dependencies(), (count == 0) ? ExpectedWait.NONE : waiting.apply(stage),
+					Duration.ZERO);
+		}
+		return ChainStep.of(stage.dependencies(), count, capacity.get(), waiting.apply(stage));
 	}
 
 	/**
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.concurrent.Future;
 
+import io.wagtailmux.decision.admission.Admission;
 import io.wagtailmux.decision.admission.ChainPlan;
 import io.wagtailmux.decision.placement.EndpointLoad;
 import io.wagtailmux.decision.placement.Placement;
@@ -262,17 +263,16 @@
 			return;
 		}
 		this.trial = this.pool.selectsNextForTrial();
-		this.planner = new ChainPlanner(this.context, this.route, this.request, this.pool);
-		this.stages = new RequestStages(this.context, this.route, this.request, this.match.priority(),
-				this.receivedAt.plus(this.route.timing().target()), this.deadline, this.planner,
-				this.fingerprint.value(),
+		Duration target = this.receivedAt.plus(this.route.timing().target());
+		this.planner = new ChainPlanner(this.context, this.route, this.request, this.pool, this.match.priority(),
+				target);
+		this.stages = new RequestStages(this.context, this.route, this.request, this.match.priority(), target,
+				this.deadline, this.planner, this.fingerprint.value(),
 				(failure) -> guard("end of the stages of a request", () -> onStagesEnded(failure)));
 		ChainPlan plan = this.planner.plan();
-		Optional<Duration> retryAfter = this.context.admission().evaluate(plan.expectedFinish(), remainingTime());
+		Optional<Duration> retryAfter = this.context.admission().evaluate(plan, remainingTargetTime(), remainingTime());
 		if (retryAfter.isPresent()) {
-			this.pool.demand().recordRefusal();
-			rejectRetryable(RejectionCode.OVERLOADED, retryAfter.get(), "answer expected in "
-					+ plan.expectedFinish().toMillis() + " ms, milliseconds remaining: " + remainingTime().toMillis());
+			rejectAsCrowded(plan, retryAfter.get());
 			return;
 		}
 		if (rejectedAsStopping(plan.expectedFinish())) {
@@ -299,6 +299,18 @@
 		this.stages.run(plan);
 	}
 
+	/**
+	 * Ends a request that has to wait too long for its stages.
+	 * @param plan the expected times of the stages
+	 * @param retryAfter when it may be accepted
+	 */
+	private void rejectAsCrowded(ChainPlan plan, Duration retryAfter) {
+		this.pool.demand().recordRefusal();
+		rejectRetryable(RejectionCode.OVERLOADED, retryAfter,
+				"answer expected in " + plan.expectedFinish().toMillis() + " ms, milliseconds remaining: "
+						+ remainingTime().toMillis() + ", until the target: " + remainingTargetTime().toMillis());
+	}
+
 	/**
 	 * Excludes a request that failed once from the trial of a version, so that its retry
 	 * goes to a proven version, unless the version on trial gets all requests.
@@ -318,6 +330,13 @@
 		if (failure.get() == PieceFailure.INPUT_GONE && this.stages.runAgain()) {
 			return;
 		}
+		if (failure.get() == PieceFailure.CROWDED) {
+			ChainPlan plan = this.planner.plan();
+			Admission admission = this.context.admission();
+			rejectAsCrowded(plan, admission.evaluate(plan, remainingTargetTime(), remainingTime())
+				.orElseGet(() -> admission.retryAfter(ASSUMED_DELAY)));
+			return;
+		}
 		failWithoutAnswer(RejectionCode.STAGES_FAILED, "stage failed: " + failure.get());
 	}
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PieceMessages.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PieceMessages.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import io.wagtailmux.decision.admission.WaitReport;
 import io.wagtailmux.decision.ownership.PoolShard;
 import io.wagtailmux.engine.port.PieceFailure;
 import io.wagtailmux.engine.port.PieceOutcome;
@@ -40,6 +41,9 @@
 				group.remaining().toNanos() / NANOSECONDS_PER_MICROSECOND,
 				group.slack().toNanos() / NANOSECONDS_PER_MICROSECOND, group.resultBytes());
 		message.setShard(shard.index());
+		group.longestWait()
+			.ifPresent(
+					(longest) -> message.setLongestWaitMicroseconds(longest.toNanos() / NANOSECONDS_PER_MICROSECOND));
 		group.key().ifPresent(message::setKey);
 		group.releasableInputPool().ifPresent((inputPool) -> message.setInputsFreedAt(inputPool.value()));
 		group.suspect().ifPresent(message::setSuspect);
@@ -59,8 +63,10 @@
 	static PieceGroup group(PieceGroupMessage message) {
 		return new PieceGroup(new AttemptId(message.getAttempt()), message.getStage(), message.getPieces(),
 				Optional.ofNullable(message.getKey()), message.getInputs().stream().map(ResultHandle::new).toList(),
-				message.getPriority(), Duration.ofNanos(message.getLeftMicroseconds() * NANOSECONDS_PER_MICROSECOND),
-				Duration.ofNanos(message.getSpareMicroseconds() * NANOSECONDS_PER_MICROSECOND),
+				message.getPriority(), duration(message.getLeftMicroseconds()),
+				duration(message.getSpareMicroseconds()),
+				message.isSetLongestWaitMicroseconds() ? Optional.of(duration(message.getLongestWaitMicroseconds()))
+						: Optional.empty(),
 				message.getResultBytes(), Optional.ofNullable(message.getHomeZone()).map(AvailabilityZoneId::new),
 				Optional.ofNullable(message.getInputsFreedAt()).map(PoolId::new),
 				Optional.ofNullable(message.getSuspect()));
@@ -69,12 +75,18 @@
 	static PieceGroupResultMessage result(PieceGroupResult result) {
 		List<PieceOutcomeMessage> outcomes = new ArrayList<>();
 		result.outcomes().forEach((piece, outcome) -> {
-			PieceOutcomeMessage message = new PieceOutcomeMessage(piece);
-			outcome.handle().ifPresent((handle) -> message.setHandle(handle.value()));
-			outcome.failure().ifPresent((failure) -> message.setFailure(failure.name()));
-			outcomes.add(message);
+			PieceOutcomeMessage pieceMessage = new PieceOutcomeMessage(piece);
+			outcome.handle().ifPresent((handle) -> pieceMessage.setHandle(handle.value()));
+			outcome.failure().ifPresent((failure) -> pieceMessage.setFailure(failure.name()));
+			outcomes.add(pieceMessage);
 		});
-		return new PieceGroupResultMessage(outcomes, result.expectedWait().toNanos() / NANOSECONDS_PER_MICROSECOND);
+		PieceGroupResultMessage message = new PieceGroupResultMessage(outcomes,
+				result.waits().behindAll().toNanos() / NANOSECONDS_PER_MICROSECOND);
+		result.waits()
+			.behindEarlier()
+			.ifPresent(
+					(wait) -> message.setWaitBehindEarlierMicroseconds(wait.toNanos() / NANOSECONDS_PER_MICROSECOND));
+		return message;
 	}
 
 	static PieceGroupResult result(PieceGroupResultMessage message) {
@@ -82,8 +94,14 @@
 		for (PieceOutcomeMessage outcome : message.getOutcomes()) {
 			outcomes.put(outcome.getPiece(), outcome(outcome));
 		}
+		Optional<Duration> behindEarlier = message.isSetWaitBehindEarlierMicroseconds()
+				? Optional.of(duration(message.getWaitBehindEarlierMicroseconds())) : Optional.empty();
 		return new PieceGroupResult(outcomes,
-				Duration.ofNanos(message.getExpectedWaitMicroseconds() * NANOSECONDS_PER_MICROSECOND));
+				new WaitReport(duration(message.getExpectedWaitMicroseconds()), behindEarlier));
+	}
+
+	private static Duration duration(long microseconds) {
+		return Duration.ofNanos(microseconds * NANOSECONDS_PER_MICROSECOND);
 	}
 
 	private static PieceOutcome outcome(PieceOutcomeMessage message) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PieceRouter.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PieceRouter.java
@@ -13,8 +13,12 @@
 
 import io.netty.handler.codec.http.HttpMethod;
 
+import io.wagtailmux.decision.admission.ExpectedWait;
+import io.wagtailmux.decision.admission.ReportedWaits;
+import io.wagtailmux.decision.admission.WaitReport;
 import io.wagtailmux.decision.ownership.PoolShard;
 import io.wagtailmux.decision.ownership.PoolShards;
+import io.wagtailmux.decision.stage.PieceUrgency;
 import io.wagtailmux.engine.EngineContext;
 import io.wagtailmux.engine.http.ClientCall;
 import io.wagtailmux.engine.http.HttpDestination;
@@ -73,7 +77,7 @@
 
 	@Override
 	public Runnable submit(PoolId pool, PieceGroup group, Consumer<PieceGroupResult> done) {
-		RemoteGroup remote = new RemoteGroup(shardForNewWork(pool), group, done);
+		RemoteGroup remote = new RemoteGroup(shardForNewWork(pool, group.urgency()), group, done);
 		remote.send();
 		return remote::cancel;
 	}
@@ -102,8 +106,11 @@
 	}
 
 	@Override
-	public Duration expectedWait(PoolId pool) {
-		return shards(pool).map((shards) -> shards.meanWait(this::expectedWait)).orElse(Duration.ZERO);
+	public ExpectedWait expectedWait(PoolId pool, PieceUrgency urgency) {
+		return shards(pool)
+			.map((shards) -> new ExpectedWait(shards.meanWait((shard) -> expectedWait(shard, urgency).time()),
+					shards.meanWait((shard) -> expectedWait(shard, urgency).ahead())))
+			.orElse(ExpectedWait.NONE);
 	}
 
 	private void freeAtOwner(PoolShard shard, List<ResultHandle> handles) {
@@ -129,17 +136,18 @@
 			.build();
 	}
 
-	private Duration expectedWait(PoolShard shard) {
-		return this.owners.owner(shard).isEmpty() ? this.local.expectedWait(shard)
-				: this.waits.expectedWait(shard, this.context.time().elapsed());
+	private ExpectedWait expectedWait(PoolShard shard, PieceUrgency urgency) {
+		return this.owners.owner(shard).isEmpty() ? ExpectedWait.of(this.local.expectedWait(shard, urgency))
+				: this.waits.expectedWait(shard, urgency.priority(), this.context.time().elapsed());
 	}
 
 	private Optional<PoolShards> shards(PoolId pool) {
 		return this.context.state().pool(pool).flatMap(PoolTraffic::shards);
 	}
 
-	private PoolShard shardForNewWork(PoolId pool) {
-		return shards(pool).map((shards) -> shards.choose(this.context.random(), this::expectedWait))
+	private PoolShard shardForNewWork(PoolId pool, PieceUrgency urgency) {
+		return shards(pool)
+			.map((shards) -> shards.choose(this.context.random(), (shard) -> expectedWait(shard, urgency).time()))
 			.orElseGet(() -> new PoolShard(pool, 0));
 	}
 
@@ -216,7 +224,7 @@
 					: PieceRouter.this.owners.owner(this.shard);
 			PieceGroup current = groupAsOfNow();
 			if (current.remaining().isNegative()) {
-				finish(PieceGroupResult.failed(this.group, PieceFailure.LATE, Duration.ZERO));
+				finish(PieceGroupResult.failed(this.group, PieceFailure.LATE, WaitReport.NONE));
 				return;
 			}
 			if (found.isEmpty()) {
@@ -269,7 +277,7 @@
 			}
 			this.ended = true;
 			PieceRouter.this.pending.remove(this);
-			PieceRouter.this.waits.report(this.shard, result.expectedWait(), now());
+			PieceRouter.this.waits.report(this.shard, this.group.priority(), result.waits().expected(), now());
 			this.done.accept(result);
 		}
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/port/PieceFailure.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/port/PieceFailure.java
@@ -10,6 +10,9 @@
 	/** It did not or could not start in time. */
 	LATE(false),
 
+	/** More is to be done first than its request can wait for. */
+	CROWDED(false),
+
 	/** A result that it reads is no longer kept. */
 	INPUT_GONE(false),
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/LocalPieceService.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/LocalPieceService.java
@@ -13,7 +13,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 
+import io.wagtailmux.decision.admission.WaitReport;
 import io.wagtailmux.decision.ownership.PoolShard;
+import io.wagtailmux.decision.stage.PieceUrgency;
 import io.wagtailmux.engine.EngineContext;
 import io.wagtailmux.engine.http.CallFailure;
 import io.wagtailmux.engine.http.HttpDestination;
@@ -76,7 +78,7 @@
 	public Runnable submit(PoolShard shard, PieceGroup group, Consumer<PieceGroupResult> done) {
 		Optional<OwnedPool> owned = ownedPool(shard);
 		if (owned.isEmpty()) {
-			done.accept(PieceGroupResult.failed(group, PieceFailure.UNREACHABLE, Duration.ZERO));
+			done.accept(PieceGroupResult.failed(group, PieceFailure.UNREACHABLE, WaitReport.NONE));
 			return () -> {
 			};
 		}
@@ -121,11 +123,12 @@
 	/**
 	 * Returns the expected wait of a new piece at a shard that this instance owns.
 	 * @param shard the shard
+	 * @param urgency the urgency of the piece
 	 * @return the estimate; zero if no piece was submitted to the shard yet
 	 */
-	public Duration expectedWait(PoolShard shard) {
+	public Duration expectedWait(PoolShard shard, PieceUrgency urgency) {
 		OwnedPool owned = this.pools.get(shard);
-		return (owned != null) ? owned.expectedWait() : Duration.ZERO;
+		return (owned != null) ? owned.expectedWait(urgency) : Duration.ZERO;
 	}
 
 	/**
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedGroup.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedGroup.java
@@ -6,10 +6,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
+import java.util.function.Function;
 
+import io.wagtailmux.decision.admission.WaitReport;
 import io.wagtailmux.decision.stage.PieceId;
 import io.wagtailmux.decision.stage.PieceTicket;
+import io.wagtailmux.decision.stage.PieceUrgency;
 import io.wagtailmux.engine.port.PieceOrder;
 import io.wagtailmux.engine.port.PieceOutcome;
 
@@ -133,16 +135,16 @@
 	 * its request needs all pieces; nothing is reported after that.
 	 * @param piece the index of the piece
 	 * @param outcome the outcome of the piece
-	 * @param expectedWait returns the expected wait of a new piece at the pool
+	 * @param wait returns the wait of new pieces at the pool
 	 */
-	void recordOutcome(int piece, PieceOutcome outcome, Supplier<Duration> expectedWait) {
+	void recordOutcome(int piece, PieceOutcome outcome, Function<PieceUrgency, WaitReport> wait) {
 		this.outcomes.put(piece, outcome);
 		boolean failed = outcome.failure().isPresent();
 		if (this.cancelled || (!failed && this.outcomes.size() < this.group.pieces().size())) {
 			return;
 		}
 		this.cancelled = failed;
-		this.done.accept(new PieceGroupResult(this.outcomes, expectedWait.get()));
+		this.done.accept(new PieceGroupResult(this.outcomes, wait.apply(this.group.urgency())));
 	}
 
 }
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
@@ -14,6 +14,7 @@
 
 import io.netty.util.concurrent.Future;
 
+import io.wagtailmux.decision.admission.WaitReport;
 import io.wagtailmux.decision.ownership.PoolShard;
 import io.wagtailmux.decision.stage.BatchOutcome;
 import io.wagtailmux.decision.stage.BatchPlanner;
@@ -21,6 +22,7 @@
 import io.wagtailmux.decision.stage.PieceBatch;
 import io.wagtailmux.decision.stage.PieceId;
 import io.wagtailmux.decision.stage.PieceTicket;
+import io.wagtailmux.decision.stage.PieceUrgency;
 import io.wagtailmux.engine.EngineContext;
 import io.wagtailmux.engine.port.PieceFailure;
 import io.wagtailmux.engine.port.PieceOrder;
@@ -101,9 +103,12 @@
 		OwnedGroup owned = new OwnedGroup(group, ++this.submissions, now(),
 				(result) -> this.context.errors().run("result of pieces", () -> done.accept(result)));
 		if (this.suspects.isHarmful(owned)) {
-			done.accept(PieceGroupResult.failed(group, PieceFailure.HARMFUL, expectedWait()));
-			return () -> {
-			};
+			return refuse(group, PieceFailure.HARMFUL, done);
+		}
+		Duration wait = expectedWait(group.urgency());
+		if (group.longestWait().filter((longest) -> wait.compareTo(longest) > 0).isPresent()) {
+			this.context.metrics().recordPiecesNotMade(Map.of(PieceFailure.CROWDED, (long) group.pieces().size()));
+			return refuse(group, PieceFailure.CROWDED, done);
 		}
 		for (int piece : group.pieces()) {
 			this.groups.put(owned.id(piece), owned);
@@ -113,6 +118,12 @@
 		return () -> cancel(owned);
 	}
 
+	private Runnable refuse(PieceGroup group, PieceFailure why, Consumer<PieceGroupResult> done) {
+		done.accept(PieceGroupResult.failed(group, why, waitReport(group.urgency())));
+		return () -> {
+		};
+	}
+
 	void onResultsFreed(Collection<ResultHandle> handles) {
 		this.results.remove(handles);
 		sendBatches();
@@ -130,9 +141,19 @@
 		}
 	}
 
-	Duration expectedWait() {
+	/**
+	 * Returns the expected wait of a new piece.
+	 * @param urgency the urgency of the piece
+	 * @return the estimate
+	 */
+	Duration expectedWait(PieceUrgency urgency) {
 		applyStatements(now());
-		return this.planner.expectedWait(now());
+		return this.planner.expectedWait(urgency, now());
+	}
+
+	private WaitReport waitReport(PieceUrgency urgency) {
+		Duration behindEarlier = expectedWait(urgency);
+		return new WaitReport(this.planner.expectedWait(now()), Optional.of(behindEarlier));
 	}
 
 	/**
@@ -381,7 +402,7 @@
 		if (owned == null) {
 			return;
 		}
-		owned.recordOutcome(id.piece(), outcome, this::expectedWait);
+		owned.recordOutcome(id.piece(), outcome, this::waitReport);
 		if (owned.cancelled()) {
 			cancel(owned);
 		}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/PieceGroup.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/PieceGroup.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.wagtailmux.decision.stage.PieceUrgency;
 import io.wagtailmux.engine.port.ResultHandle;
 import io.wagtailmux.model.AttemptId;
 import io.wagtailmux.model.AvailabilityZoneId;
@@ -24,6 +25,9 @@
  * follows could not be completed before the deadline of the request
  * @param slack the time until the pieces must start for the request to meet its latency
  * target; negative if it will miss the target
+ * @param longestWait the longest expected wait with which the pieces are accepted; empty
+ * if they are accepted however much is to be done first, as those of a request for which
+ * work was done already
  * @param resultBytes the approximate size of each result, in bytes
  * @param home the availability zone in which the pieces should be executed to avoid large
  * transfers between zones; empty if any will do
@@ -35,8 +39,9 @@
  * @author the wagtailmux developers
  */
 public record PieceGroup(AttemptId attempt, int stage, List<Integer> pieces, Optional<String> key,
-		List<ResultHandle> inputs, int priority, Duration remaining, Duration slack, long resultBytes,
-		Optional<AvailabilityZoneId> home, Optional<PoolId> releasableInputPool, Optional<String> suspect) {
+		List<ResultHandle> inputs, int priority, Duration remaining, Duration slack, Optional<Duration> longestWait,
+		long resultBytes, Optional<AvailabilityZoneId> home, Optional<PoolId> releasableInputPool,
+		Optional<String> suspect) {
 
 	/**
 	 * Creates the group.
@@ -46,6 +51,14 @@
 		inputs = List.copyOf(inputs);
 	}
 
+	/**
+	 * Returns what decides which other pieces are sent before those of this group.
+	 * @return the urgency of its pieces
+	 */
+	public PieceUrgency urgency() {
+		return new PieceUrgency(this.priority, this.slack);
+	}
+
 	/**
 	 * Returns this group with its remaining time and slack reduced, for submission at a
 	 * later time.
@@ -54,7 +67,8 @@
 	 */
 	public PieceGroup withElapsed(Duration elapsed) {
 		return new PieceGroup(this.attempt, this.stage, this.pieces, this.key, this.inputs, this.priority,
-				this.remaining.minus(elapsed), this.slack.minus(elapsed), this.resultBytes, this.home,
+				this.remaining.minus(elapsed), this.slack.minus(elapsed),
+				this.longestWait.map((longest) -> longest.minus(elapsed)), this.resultBytes, this.home,
 				this.releasableInputPool, this.suspect);
 	}
 
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/PieceGroupResult.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/PieceGroupResult.java
@@ -1,11 +1,11 @@
 package io.wagtailmux.engine.stage;
 
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
+import io.wagtailmux.decision.admission.WaitReport;
 import io.wagtailmux.engine.port.PieceFailure;
 import io.wagtailmux.engine.port.PieceOutcome;
 import io.wagtailmux.engine.port.ResultHandle;
@@ -15,10 +15,10 @@
  * pieces, which may then be absent.
  *
  * @param outcomes the outcomes by the index of the piece; copied
- * @param expectedWait the expected wait of a new piece at the pool
+ * @param waits the wait of new pieces at the pool
  * @author the wagtailmux developers
  */
-public record PieceGroupResult(Map<Integer, PieceOutcome> outcomes, Duration expectedWait) {
+public record PieceGroupResult(Map<Integer, PieceOutcome> outcomes, WaitReport waits) {
 
 	/**
 	 * Creates the result.
@@ -31,13 +31,13 @@
 	 * Creates the result of a group of which all pieces failed for the same reason.
 	 * @param group the group
 	 * @param failure the reason
-	 * @param expectedWait the expected wait of a new piece at the pool
+	 * @param waits the wait of new pieces at the pool
 	 * @return the result
 	 */
-	public static PieceGroupResult failed(PieceGroup group, PieceFailure failure, Duration expectedWait) {
+	public static PieceGroupResult failed(PieceGroup group, PieceFailure failure, WaitReport waits) {
 		Map<Integer, PieceOutcome> outcomes = new HashMap<>();
 		group.pieces().forEach((piece) -> outcomes.put(piece, PieceOutcome.failed(failure)));
-		return new PieceGroupResult(outcomes, expectedWait);
+		return new PieceGroupResult(outcomes, waits);
 	}
 
 	/**
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/PieceService.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/PieceService.java
@@ -1,9 +1,10 @@
 package io.wagtailmux.engine.stage;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.function.Consumer;
 
+import io.wagtailmux.decision.admission.ExpectedWait;
+import io.wagtailmux.decision.stage.PieceUrgency;
 import io.wagtailmux.engine.port.ResultHandle;
 import io.wagtailmux.model.PoolId;
 
@@ -46,8 +47,9 @@
 	/**
 	 * Returns the expected wait of a new piece at a pool.
 	 * @param pool the pool
-	 * @return the latest estimate; zero if there is none
+	 * @param urgency the urgency of the piece
+	 * @return the latest estimate; no wait if there is none
 	 */
-	Duration expectedWait(PoolId pool);
+	ExpectedWait expectedWait(PoolId pool, PieceUrgency urgency);
 
 }
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/StageRun.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/StageRun.java
@@ -213,12 +213,23 @@
 		PieceGroup group = new PieceGroup(this.request.attempt(), index, IntStream.range(0, count).boxed().toList(),
 				stage.dependencies().isEmpty() ? this.request.pieceKey() : Optional.empty(), inputs, this.priority,
 				usefulUntil.minus(now), this.target.minus(this.plan.timeFromStart(index)).minus(now),
-				stage.resultBytes(), transfersMuchData(index) ? this.home : Optional.empty(),
+				longestWait(index, now), stage.resultBytes(), transfersMuchData(index) ? this.home : Optional.empty(),
 				releasableInputPool(index), Optional.of(this.suspect));
 		this.cancellations
 			.add(this.context.pieces().submit(stage.pool(), group, (result) -> onGroupEnded(index, result)));
 	}
 
+	/**
+	 * Returns how long a stage may wait if no work was done for the request yet.
+	 * @param index the index of the stage
+	 * @param now the elapsed time
+	 * @return the longest wait; empty if it may wait as long as its result is useful
+	 */
+	private Optional<Duration> longestWait(int index, Duration now) {
+		boolean nothingDone = this.results.values().stream().allMatch(List::isEmpty);
+		return nothingDone ? this.plan.longestWait(index, this.target.minus(now)) : Optional.empty();
+	}
+
 	/**
 	 * Returns the pool that keeps the inputs of a stage, if no other stage reads them.
 	 * @param index the index of the stage that reads the inputs
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/PieceGroupMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/PieceGroupMessage.java
@@ -24,6 +24,7 @@
   private static final org.apache.thrift.protocol.TField INPUTS_FREED_AT_FIELD_DESC = new org.apache.thrift.protocol.TField("inputsFreedAt", org.apache.thrift.protocol.TType.STRING, (short)12);
   private static final org.apache.thrift.protocol.TField SHARD_FIELD_DESC = new org.apache.thrift.protocol.TField("shard", org.apache.thrift.protocol.TType.I32, (short)13);
   private static final org.apache.thrift.protocol.TField SUSPECT_FIELD_DESC = new org.apache.thrift.protocol.TField("suspect", org.apache.thrift.protocol.TType.STRING, (short)14);
+  private static final org.apache.thrift.protocol.TField LONGEST_WAIT_MICROSECONDS_FIELD_DESC = new org.apache.thrift.protocol.TField("longestWaitMicroseconds", org.apache.thrift.protocol.TType.I64, (short)15);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PieceGroupMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PieceGroupMessageTupleSchemeFactory();
@@ -42,6 +43,7 @@
   public @org.apache.thrift.annotation.Nullable java.lang.String inputsFreedAt; // optional
   public int shard; // optional
   public @org.apache.thrift.annotation.Nullable java.lang.String suspect; // optional
+  public long longestWaitMicroseconds; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -58,7 +60,8 @@
     HOME_ZONE((short)11, "homeZone"),
     INPUTS_FREED_AT((short)12, "inputsFreedAt"),
     SHARD((short)13, "shard"),
-    SUSPECT((short)14, "suspect");
+    SUSPECT((short)14, "suspect"),
+    LONGEST_WAIT_MICROSECONDS((short)15, "longestWaitMicroseconds");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -102,6 +105,8 @@
           return SHARD;
         case 14: // SUSPECT
           return SUSPECT;
+        case 15: // LONGEST_WAIT_MICROSECONDS
+          return LONGEST_WAIT_MICROSECONDS;
         default:
           return null;
       }
@@ -151,8 +156,9 @@
   private static final int __SPAREMICROSECONDS_ISSET_ID = 3;
   private static final int __RESULTBYTES_ISSET_ID = 4;
   private static final int __SHARD_ISSET_ID = 5;
+  private static final int __LONGESTWAITMICROSECONDS_ISSET_ID = 6;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.KEY,_Fields.HOME_ZONE,_Fields.INPUTS_FREED_AT,_Fields.SHARD,_Fields.SUSPECT};
+  private static final _Fields optionals[] = {_Fields.KEY,_Fields.HOME_ZONE,_Fields.INPUTS_FREED_AT,_Fields.SHARD,_Fields.SUSPECT,_Fields.LONGEST_WAIT_MICROSECONDS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -186,6 +192,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.SUSPECT, new org.apache.thrift.meta_data.FieldMetaData("suspect", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.LONGEST_WAIT_MICROSECONDS, new org.apache.thrift.meta_data.FieldMetaData("longestWaitMicroseconds", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PieceGroupMessage.class, metaDataMap);
   }
@@ -258,6 +266,7 @@
     if (other.isSetSuspect()) {
       this.suspect = other.suspect;
     }
+    this.longestWaitMicroseconds = other.longestWaitMicroseconds;
   }
 
   @Override
@@ -287,6 +296,8 @@
     setShardIsSet(false);
     this.shard = 0;
     this.suspect = null;
+    setLongestWaitMicrosecondsIsSet(false);
+    this.longestWaitMicroseconds = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -659,6 +670,29 @@
     }
   }
 
+  public long getLongestWaitMicroseconds() {
+    return this.longestWaitMicroseconds;
+  }
+
+  public PieceGroupMessage setLongestWaitMicroseconds(long longestWaitMicroseconds) {
+    this.longestWaitMicroseconds = longestWaitMicroseconds;
+    setLongestWaitMicrosecondsIsSet(true);
+    return this;
+  }
+
+  public void unsetLongestWaitMicroseconds() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LONGESTWAITMICROSECONDS_ISSET_ID);
+  }
+
+  /** Returns true if field longestWaitMicroseconds is set (has been assigned a value) and false otherwise */
+  public boolean isSetLongestWaitMicroseconds() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LONGESTWAITMICROSECONDS_ISSET_ID);
+  }
+
+  public void setLongestWaitMicrosecondsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LONGESTWAITMICROSECONDS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -774,6 +808,14 @@
       }
       break;
 
+    case LONGEST_WAIT_MICROSECONDS:
+      if (value == null) {
+        unsetLongestWaitMicroseconds();
+      } else {
+        setLongestWaitMicroseconds((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -823,6 +865,9 @@
     case SUSPECT:
       return getSuspect();
 
+    case LONGEST_WAIT_MICROSECONDS:
+      return getLongestWaitMicroseconds();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -863,6 +908,8 @@
       return isSetShard();
     case SUSPECT:
       return isSetSuspect();
+    case LONGEST_WAIT_MICROSECONDS:
+      return isSetLongestWaitMicroseconds();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1006,6 +1053,15 @@
         return false;
     }
 
+    boolean this_present_longestWaitMicroseconds = true && this.isSetLongestWaitMicroseconds();
+    boolean that_present_longestWaitMicroseconds = true && that.isSetLongestWaitMicroseconds();
+    if (this_present_longestWaitMicroseconds || that_present_longestWaitMicroseconds) {
+      if (!(this_present_longestWaitMicroseconds && that_present_longestWaitMicroseconds))
+        return false;
+      if (this.longestWaitMicroseconds != that.longestWaitMicroseconds)
+        return false;
+    }
+
     return true;
   }
 
@@ -1059,6 +1115,10 @@
     if (isSetSuspect())
       hashCode = hashCode * 8191 + suspect.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetLongestWaitMicroseconds()) ? 131071 : 524287);
+    if (isSetLongestWaitMicroseconds())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(longestWaitMicroseconds);
+
     return hashCode;
   }
 
@@ -1210,6 +1270,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLongestWaitMicroseconds(), other.isSetLongestWaitMicroseconds());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLongestWaitMicroseconds()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.longestWaitMicroseconds, other.longestWaitMicroseconds);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1331,6 +1401,12 @@
       }
       first = false;
     }
+    if (isSetLongestWaitMicroseconds()) {
+      if (!first) sb.append(", ");
+      sb.append("longestWaitMicroseconds:");
+      sb.append(this.longestWaitMicroseconds);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1527,6 +1603,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 15: // LONGEST_WAIT_MICROSECONDS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.longestWaitMicroseconds = iprot.readI64();
+              struct.setLongestWaitMicrosecondsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1640,6 +1724,11 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.isSetLongestWaitMicroseconds()) {
+        oprot.writeFieldBegin(LONGEST_WAIT_MICROSECONDS_FIELD_DESC);
+        oprot.writeI64(struct.longestWaitMicroseconds);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1695,7 +1784,10 @@
       if (struct.isSetSuspect()) {
         optionals.set(4);
       }
-      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetLongestWaitMicroseconds()) {
+        optionals.set(5);
+      }
+      oprot.writeBitSet(optionals, 6);
       if (struct.isSetKey()) {
         oprot.writeString(struct.key);
       }
@@ -1711,6 +1803,9 @@
       if (struct.isSetSuspect()) {
         oprot.writeString(struct.suspect);
       }
+      if (struct.isSetLongestWaitMicroseconds()) {
+        oprot.writeI64(struct.longestWaitMicroseconds);
+      }
     }
 
     @Override
@@ -1752,7 +1847,7 @@
       struct.setSpareMicrosecondsIsSet(true);
       struct.resultBytes = iprot.readI64();
       struct.setResultBytesIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(5);
+      java.util.BitSet incoming = iprot.readBitSet(6);
       if (incoming.get(0)) {
         struct.key = iprot.readString();
         struct.setKeyIsSet(true);
@@ -1773,6 +1868,10 @@
         struct.suspect = iprot.readString();
         struct.setSuspectIsSet(true);
       }
+      if (incoming.get(5)) {
+        struct.longestWaitMicroseconds = iprot.readI64();
+        struct.setLongestWaitMicrosecondsIsSet(true);
+      }
     }
   }
 
--- a/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/PieceGroupResultMessage.java
+++ b/wagtailmux-peer/src/main/java/io/wagtailmux/peer/wire/PieceGroupResultMessage.java
@@ -12,17 +12,20 @@
 
   private static final org.apache.thrift.protocol.TField OUTCOMES_FIELD_DESC = new org.apache.thrift.protocol.TField("outcomes", org.apache.thrift.protocol.TType.LIST, (short)1);
   private static final org.apache.thrift.protocol.TField EXPECTED_WAIT_MICROSECONDS_FIELD_DESC = new org.apache.thrift.protocol.TField("expectedWaitMicroseconds", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField WAIT_BEHIND_EARLIER_MICROSECONDS_FIELD_DESC = new org.apache.thrift.protocol.TField("waitBehindEarlierMicroseconds", org.apache.thrift.protocol.TType.I64, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PieceGroupResultMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PieceGroupResultMessageTupleSchemeFactory();
 
   public @org.apache.thrift.annotation.Nullable java.util.List<PieceOutcomeMessage> outcomes; // required
   public long expectedWaitMicroseconds; // required
+  public long waitBehindEarlierMicroseconds; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     OUTCOMES((short)1, "outcomes"),
-    EXPECTED_WAIT_MICROSECONDS((short)2, "expectedWaitMicroseconds");
+    EXPECTED_WAIT_MICROSECONDS((short)2, "expectedWaitMicroseconds"),
+    WAIT_BEHIND_EARLIER_MICROSECONDS((short)3, "waitBehindEarlierMicroseconds");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -42,6 +45,8 @@
           return OUTCOMES;
         case 2: // EXPECTED_WAIT_MICROSECONDS
           return EXPECTED_WAIT_MICROSECONDS;
+        case 3: // WAIT_BEHIND_EARLIER_MICROSECONDS
+          return WAIT_BEHIND_EARLIER_MICROSECONDS;
         default:
           return null;
       }
@@ -86,7 +91,9 @@
 
   // isset id assignments
   private static final int __EXPECTEDWAITMICROSECONDS_ISSET_ID = 0;
+  private static final int __WAITBEHINDEARLIERMICROSECONDS_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.WAIT_BEHIND_EARLIER_MICROSECONDS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -95,6 +102,8 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PieceOutcomeMessage.class))));
     tmpMap.put(_Fields.EXPECTED_WAIT_MICROSECONDS, new org.apache.thrift.meta_data.FieldMetaData("expectedWaitMicroseconds", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.WAIT_BEHIND_EARLIER_MICROSECONDS, new org.apache.thrift.meta_data.FieldMetaData("waitBehindEarlierMicroseconds", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PieceGroupResultMessage.class, metaDataMap);
   }
@@ -125,6 +134,7 @@
       this.outcomes = __this__outcomes;
     }
     this.expectedWaitMicroseconds = other.expectedWaitMicroseconds;
+    this.waitBehindEarlierMicroseconds = other.waitBehindEarlierMicroseconds;
   }
 
   @Override
@@ -137,6 +147,8 @@
     this.outcomes = null;
     setExpectedWaitMicrosecondsIsSet(false);
     this.expectedWaitMicroseconds = 0;
+    setWaitBehindEarlierMicrosecondsIsSet(false);
+    this.waitBehindEarlierMicroseconds = 0;
   }
 
   public int getOutcomesSize() {
@@ -203,6 +215,29 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EXPECTEDWAITMICROSECONDS_ISSET_ID, value);
   }
 
+  public long getWaitBehindEarlierMicroseconds() {
+    return this.waitBehindEarlierMicroseconds;
+  }
+
+  public PieceGroupResultMessage setWaitBehindEarlierMicroseconds(long waitBehindEarlierMicroseconds) {
+    this.waitBehindEarlierMicroseconds = waitBehindEarlierMicroseconds;
+    setWaitBehindEarlierMicrosecondsIsSet(true);
+    return this;
+  }
+
+  public void unsetWaitBehindEarlierMicroseconds() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __WAITBEHINDEARLIERMICROSECONDS_ISSET_ID);
+  }
+
+  /** Returns true if field waitBehindEarlierMicroseconds is set (has been assigned a value) and false otherwise */
+  public boolean isSetWaitBehindEarlierMicroseconds() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __WAITBEHINDEARLIERMICROSECONDS_ISSET_ID);
+  }
+
+  public void setWaitBehindEarlierMicrosecondsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WAITBEHINDEARLIERMICROSECONDS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -222,6 +257,14 @@
       }
       break;
 
+    case WAIT_BEHIND_EARLIER_MICROSECONDS:
+      if (value == null) {
+        unsetWaitBehindEarlierMicroseconds();
+      } else {
+        setWaitBehindEarlierMicroseconds((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -235,6 +278,9 @@
     case EXPECTED_WAIT_MICROSECONDS:
       return getExpectedWaitMicroseconds();
 
+    case WAIT_BEHIND_EARLIER_MICROSECONDS:
+      return getWaitBehindEarlierMicroseconds();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -251,6 +297,8 @@
       return isSetOutcomes();
     case EXPECTED_WAIT_MICROSECONDS:
       return isSetExpectedWaitMicroseconds();
+    case WAIT_BEHIND_EARLIER_MICROSECONDS:
+      return isSetWaitBehindEarlierMicroseconds();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -286,6 +334,15 @@
         return false;
     }
 
+    boolean this_present_waitBehindEarlierMicroseconds = true && this.isSetWaitBehindEarlierMicroseconds();
+    boolean that_present_waitBehindEarlierMicroseconds = true && that.isSetWaitBehindEarlierMicroseconds();
+    if (this_present_waitBehindEarlierMicroseconds || that_present_waitBehindEarlierMicroseconds) {
+      if (!(this_present_waitBehindEarlierMicroseconds && that_present_waitBehindEarlierMicroseconds))
+        return false;
+      if (this.waitBehindEarlierMicroseconds != that.waitBehindEarlierMicroseconds)
+        return false;
+    }
+
     return true;
   }
 
@@ -299,6 +356,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(expectedWaitMicroseconds);
 
+    hashCode = hashCode * 8191 + ((isSetWaitBehindEarlierMicroseconds()) ? 131071 : 524287);
+    if (isSetWaitBehindEarlierMicroseconds())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(waitBehindEarlierMicroseconds);
+
     return hashCode;
   }
 
@@ -330,6 +391,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetWaitBehindEarlierMicroseconds(), other.isSetWaitBehindEarlierMicroseconds());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetWaitBehindEarlierMicroseconds()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.waitBehindEarlierMicroseconds, other.waitBehindEarlierMicroseconds);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -365,6 +436,12 @@
     sb.append("expectedWaitMicroseconds:");
     sb.append(this.expectedWaitMicroseconds);
     first = false;
+    if (isSetWaitBehindEarlierMicroseconds()) {
+      if (!first) sb.append(", ");
+      sb.append("waitBehindEarlierMicroseconds:");
+      sb.append(this.waitBehindEarlierMicroseconds);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -443,6 +520,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // WAIT_BEHIND_EARLIER_MICROSECONDS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.waitBehindEarlierMicroseconds = iprot.readI64();
+              struct.setWaitBehindEarlierMicrosecondsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -477,6 +562,11 @@
       oprot.writeFieldBegin(EXPECTED_WAIT_MICROSECONDS_FIELD_DESC);
       oprot.writeI64(struct.expectedWaitMicroseconds);
       oprot.writeFieldEnd();
+      if (struct.isSetWaitBehindEarlierMicroseconds()) {
+        oprot.writeFieldBegin(WAIT_BEHIND_EARLIER_MICROSECONDS_FIELD_DESC);
+        oprot.writeI64(struct.waitBehindEarlierMicroseconds);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -503,6 +593,14 @@
         }
       }
       oprot.writeI64(struct.expectedWaitMicroseconds);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetWaitBehindEarlierMicroseconds()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetWaitBehindEarlierMicroseconds()) {
+        oprot.writeI64(struct.waitBehindEarlierMicroseconds);
+      }
     }
 
     @Override
@@ -522,6 +620,11 @@
       struct.setOutcomesIsSet(true);
       struct.expectedWaitMicroseconds = iprot.readI64();
       struct.setExpectedWaitMicrosecondsIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.waitBehindEarlierMicroseconds = iprot.readI64();
+        struct.setWaitBehindEarlierMicrosecondsIsSet(true);
+      }
     }
   }
 
--- a/wagtailmux-peer/src/main/thrift/engine.thrift
+++ b/wagtailmux-peer/src/main/thrift/engine.thrift
@@ -17,6 +17,7 @@
   12: optional string inputsFreedAt
   13: optional i32 shard
   14: optional string suspect
+  15: optional i64 longestWaitMicroseconds
 }
 
 struct PieceOutcomeMessage {
@@ -28,6 +29,7 @@
 struct PieceGroupResultMessage {
   1: required list<PieceOutcomeMessage> outcomes
   2: required i64 expectedWaitMicroseconds
+  3: optional i64 waitBehindEarlierMicroseconds
 }
 
 struct FreeResultsMessage {
