A stopping owner of a stage pool completes the pieces that it has

Callers of pipelines with stages got late answers or failures while instances were stopped in turn: each request with stages in progress at a stopping owner had them done again, up to three times for a chain of three stages.

Cause: as soon as an instance said that it was leaving, all others broke off what they had sent to it, although it runs for three and a half seconds more and longer; its calls went on, their results were thrown away, and the next owner sent the same pieces again, behind them at the same endpoints. And an instance ended when its own callers had their answers, whatever it still did for others. Evidence: OwnerStopTests with three instances failed before, with pieces that ran twice.

Change: instances that answer and are leaving are in the view apart from the peers.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Membership.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Membership.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
@@ -118,6 +119,8 @@
 
 	private Set<InstancePeer> publishedPeers = Set.of();
 
+	private Set<InstancePeer> publishedLeaving = Set.of();
+
 	private int publishedInstances;
 
 	private int completedReads;
@@ -181,6 +184,18 @@
 	 * @return the peers, in no particular order
 	 */
 	List<InstancePeer> alive() {
+		return answering((instance) -> !instance.stopping);
+	}
+
+	/**
+	 * Returns the other instances that answer heartbeats and are stopping.
+	 * @return the peers, in no particular order
+	 */
+	List<InstancePeer> leaving() {
+		return answering((instance) -> instance.stopping);
+	}
+
+	private List<InstancePeer> answering(Predicate<KnownInstance> which) {
 		Duration now = this.time.elapsed();
 		List<DutyCandidate> others = others();
 		Set<InstanceId> contactedEveryRound = this.schedule.contactedEveryRound(others, this.duties.get());
@@ -188,7 +203,7 @@
 				HEARTBEAT_INTERVAL);
 		return this.known.values()
 			.stream()
-			.filter((instance) -> !isSelf(instance) && !instance.stopping)
+			.filter((instance) -> !isSelf(instance) && which.test(instance))
 			.filter((instance) -> now.minus(instance.answeredAt)
 				.compareTo(contactedEveryRound.contains(instance.id()) ? SILENCE_LIMIT : rotationLimit) < 0)
 			.map(KnownInstance::peer)
@@ -409,8 +424,10 @@
 
 	private void publishIfChanged() {
 		Set<InstancePeer> alive = Set.copyOf(alive());
+		Set<InstancePeer> leaving = Set.copyOf(leaving());
 		int instances = possiblyAlive();
-		if (alive.equals(this.publishedPeers) && instances == this.publishedInstances) {
+		if (alive.equals(this.publishedPeers) && leaving.equals(this.publishedLeaving)
+				&& instances == this.publishedInstances) {
 			return;
 		}
 		LOG.atInfo()
@@ -418,6 +435,7 @@
 			.addKeyValue("possiblyAlive", instances)
 			.log("instances changed");
 		this.publishedPeers = alive;
+		this.publishedLeaving = leaving;
 		this.publishedInstances = instances;
 		this.onChange.run();
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
@@ -118,6 +118,10 @@
 		return () -> cancel(owned);
 	}
 
+	boolean busy() {
+		return !this.groups.isEmpty();
+	}
+
 	private Runnable refuse(PieceGroup group, PieceFailure why, Consumer<PieceGroupResult> done) {
 		done.accept(PieceGroupResult.failed(group, why, waitReport(group.urgency())));
 		return () -> {
