Give stage work to an instance only once it knows its endpoints

Callers of pipelines with stages got 503 (STAGES_FAILED) at any instance, while an instance that owns a stage pool started again: for as long as it had not read the store, everything that was sent to it failed at once. A chain of three stages, in which each has another owner, meets this three times.

Cause: an instance answers heartbeats as soon as it listens, so that all others give it back its shards; large machines own most of them, and one that starts again is the owner again within half a second. Without a configuration it answered each group with "unreachable", which the sender took for the end of the request. Class of fault: alive is taken for able.

Change: until it has a configuration, an instance says in its heartbeat answers that it takes nothing new, with the field that a stopping one uses, so that instances of the version before understand it too. A group that comes nevertheless gets 503, upon which its sender does the work itself or sends it to the next owner; it does the same for an owner of an earlier version that answers "unreachable".

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
@@ -302,7 +302,7 @@
 
 	private PingMessage pingMessage() {
 		long version = this.context.state().view().configuration().map(ServingConfiguration::version).orElse(0L);
-		PingMessage message = new PingMessage(this.self, version, this.stopping);
+		PingMessage message = new PingMessage(this.self, version, this.stopping || !this.configured);
 		this.duties.ifPresent((control) -> control.addTo(message));
 		List<TrialReport> trials = this.context.state().trialReports();
 		if (!trials.isEmpty()) {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Membership.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Membership.java
@@ -182,19 +182,20 @@
 	}
 
 	/**
-	 * Returns the other instances that answer heartbeats and are not stopping.
+	 * Returns the other instances that answer heartbeats and accept new work.
 	 * @return the peers, in no particular order
 	 */
 	List<InstancePeer> alive() {
-		return answering((instance) -> !instance.stopping);
+		return answering((instance) -> !instance.refusesNewWork);
 	}
 
 	/**
-	 * Returns the other instances that answer heartbeats and are stopping.
+	 * Returns the other instances that answer heartbeats and accept no new work, since
+	 * they are stopping or have no configuration yet.
 	 * @return the peers, in no particular order
 	 */
 	List<InstancePeer> leaving() {
-		return answering((instance) -> instance.stopping);
+		return answering((instance) -> instance.refusesNewWork);
 	}
 
 	private List<InstancePeer> answering(Predicate<KnownInstance> which) {
@@ -425,10 +426,10 @@
 		if (answer.getSender().getInstance().equals(instance.record.getInstance())) {
 			instance.answeredAt = this.time.elapsed();
 			instance.introduced = true;
-			instance.stopping = answer.isLeaving();
+			instance.refusesNewWork = answer.isLeaving();
 			this.onAnswer.accept(answer);
 			// An instance that is and stays alive is by far the most frequent case.
-			if (this.publishedPeers.contains(instance.peer()) == instance.stopping) {
+			if (this.publishedPeers.contains(instance.peer()) == instance.refusesNewWork) {
 				publishIfChanged();
 			}
 		}
@@ -485,7 +486,7 @@
 
 		private boolean introduced;
 
-		private boolean stopping;
+		private boolean refusesNewWork;
 
 		KnownInstance(InstanceRecordMessage record, Duration now) {
 			this.record = record;
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PeerHandler.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PeerHandler.java
@@ -170,7 +170,17 @@
 		write(context, HttpResponseStatus.OK, ThriftCodec.encode(known));
 	}
 
+	/**
+	 * Submits a group of pieces. If this instance has just started, the sender is told to
+	 * send the group to another one or to execute it itself.
+	 * @param context the connection
+	 * @param message the group
+	 */
 	private void submitPieces(ChannelHandlerContext context, PieceGroupMessage message) {
+		if (!this.pieceService.knows(new PoolId(message.getPool()))) {
+			write(context, HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER);
+			return;
+		}
 		PieceGroup group = PieceMessages.group(message);
 		PoolShard shard = PieceMessages.shard(message);
 		this.cancellation = this.pieceService.submit(shard, group, (result) -> {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PieceRouter.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PieceRouter.java
@@ -242,9 +242,24 @@
 				.timeout(current.remaining())
 				.build();
 			this.call = PieceRouter.this.context.client()
-				.send(destination(this.owner), request, new PeerResponseListener(
-						(body) -> finish(PieceMessages.result(ThriftCodec.decode(body, new PieceGroupResultMessage()))),
-						this::failOver));
+				.send(destination(this.owner), request,
+						new PeerResponseListener(
+								(body) -> onAnswer(
+										PieceMessages.result(ThriftCodec.decode(body, new PieceGroupResultMessage()))),
+								this::failOver));
+		}
+
+		/**
+		 * Accepts the result, unless the owner knows no endpoint, as one of an earlier
+		 * version that has just started.
+		 * @param result the result
+		 */
+		private void onAnswer(PieceGroupResult result) {
+			if (result.failure().filter(PieceFailure.UNREACHABLE::equals).isPresent()) {
+				failOver("knows no endpoint");
+				return;
+			}
+			finish(result);
 		}
 
 		void cancel() {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/LocalPieceService.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/LocalPieceService.java
@@ -68,6 +68,15 @@
 		this.context = context;
 	}
 
+	/**
+	 * Returns whether this instance can execute pieces of a pool.
+	 * @param pool the pool
+	 * @return false if it has not read its configuration and endpoints yet
+	 */
+	public boolean knows(PoolId pool) {
+		return this.context.state().pool(pool).flatMap((found) -> found.pool().batch()).isPresent();
+	}
+
 	/**
 	 * Submits a group of pieces, as {@link PieceService#submit} does.
 	 * @param shard the shard whose endpoints execute them
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/ServingView.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/ServingView.java
@@ -23,7 +23,7 @@
  * @param trials the newest rollout of each pool that has one
  * @param peers the other instances that are alive
  * @param leaving the other instances that answer and complete what they have begun, but
- * get nothing new, since they are stopping
+ * get nothing new, since they are stopping or have no configuration yet
  * @param instances the number of instances that may be alive, this one included
  * @author the wagtailmux developers
  */
