Take back that a stopping owner completes all pieces that it has

Callers of pipelines with stages would have got later answers while instances are stopped in turn. let a stopping owner work off its whole queue; beside it the next owner called the same endpoints, each with a part of the pieces.

--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/EngineProcess.java
@@ -238,8 +238,8 @@
 	 * completed, and then the process may exit. Returns immediately; later calls have no
 	 * effect. May be called on any thread.
 	 * @param whenStopped called once, on the control thread, when the load balancer has
-	 * removed this instance and neither a request nor a piece of another instance is in
-	 * progress, or shortly before the end of the grace period
+	 * removed this instance and no request is in progress, or shortly before the end of
+	 * the grace period
 	 */
 	public void stop(Runnable whenStopped) {
 		this.traffic.execute("begin of the shutdown", () -> {
@@ -413,8 +413,7 @@
 		}
 		long busy = this.connections.activeRequests();
 		this.connections.endUnanswerable(this.stopPlan);
-		boolean completed = removedFromBalancer && busy == 0 && !this.localPieces.busy();
-		if (this.stopPlan.isOver(now) || completed) {
+		if (this.stopPlan.isOver(now) || (removedFromBalancer && busy == 0)) {
 			LOG.atInfo().addKeyValue("busy", busy).log("stopped");
 			stopAccepting();
 			awaitLastWrites(now.plus(LAST_WRITES_TIME));
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Membership.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/Membership.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
@@ -121,8 +120,6 @@
 
 	private Set<InstancePeer> publishedPeers = Set.of();
 
-	private Set<InstancePeer> publishedLeaving = Set.of();
-
 	private int publishedInstances;
 
 	private int completedReads;
@@ -182,23 +179,11 @@
 	}
 
 	/**
-	 * Returns the other instances that answer heartbeats and accept new work.
+	 * Returns the other instances that answer heartbeats and accept new work: they are
+	 * not stopping and have a configuration.
 	 * @return the peers, in no particular order
 	 */
 	List<InstancePeer> alive() {
-		return answering((instance) -> !instance.refusesNewWork);
-	}
-
-	/**
-	 * Returns the other instances that answer heartbeats and accept no new work, since
-	 * they are stopping or have no configuration yet.
-	 * @return the peers, in no particular order
-	 */
-	List<InstancePeer> leaving() {
-		return answering((instance) -> instance.refusesNewWork);
-	}
-
-	private List<InstancePeer> answering(Predicate<KnownInstance> which) {
 		Duration now = this.time.elapsed();
 		List<DutyCandidate> others = others();
 		Set<InstanceId> contactedEveryRound = this.schedule.contactedEveryRound(others, this.duties.get());
@@ -206,7 +191,7 @@
 				HEARTBEAT_INTERVAL);
 		return this.known.values()
 			.stream()
-			.filter((instance) -> !isSelf(instance) && which.test(instance))
+			.filter((instance) -> !isSelf(instance) && !instance.refusesNewWork)
 			.filter((instance) -> now.minus(instance.answeredAt)
 				.compareTo(contactedEveryRound.contains(instance.id()) ? SILENCE_LIMIT : rotationLimit) < 0)
 			.map(KnownInstance::peer)
@@ -447,10 +432,8 @@
 
 	private void publishIfChanged() {
 		Set<InstancePeer> alive = Set.copyOf(alive());
-		Set<InstancePeer> leaving = Set.copyOf(leaving());
 		int instances = possiblyAlive();
-		if (alive.equals(this.publishedPeers) && leaving.equals(this.publishedLeaving)
-				&& instances == this.publishedInstances) {
+		if (alive.equals(this.publishedPeers) && instances == this.publishedInstances) {
 			return;
 		}
 		LOG.atInfo()
@@ -458,7 +441,6 @@
 			.addKeyValue("possiblyAlive", instances)
 			.log("instances changed");
 		this.publishedPeers = alive;
-		this.publishedLeaving = leaving;
 		this.publishedInstances = instances;
 		this.onChange.run();
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/ServingControl.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/control/ServingControl.java
@@ -268,7 +268,7 @@
 			return;
 		}
 		this.published = new ServingView(this.operator.configuration(), Map.copyOf(this.registry.endpoints()),
-				this.operator.evacuated(), this.rollouts.trials(), this.membership.alive(), this.membership.leaving(),
+				this.operator.evacuated(), this.rollouts.trials(), this.membership.alive(),
 				this.membership.possiblyAlive());
 		this.viewListener.accept(this.published);
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PieceRouter.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/peer/PieceRouter.java
@@ -31,7 +31,6 @@
 import io.wagtailmux.engine.stage.PieceService;
 import io.wagtailmux.engine.state.InstancePeer;
 import io.wagtailmux.engine.state.PoolTraffic;
-import io.wagtailmux.engine.state.ServingView;
 import io.wagtailmux.model.InstanceId;
 import io.wagtailmux.model.PoolId;
 import io.wagtailmux.peer.wire.FreeResultsMessage;
@@ -44,8 +43,7 @@
  *
  * <p>
  * An instance that stops responding is missing in the next serving view and so loses its
- * shards; groups that were sent to it are sent to the next owner. One that is stopping
- * loses its shards as well, but keeps the groups that were sent to it.
+ * shards; groups that were sent to it are sent to the next owner.
  *
  * @author the wagtailmux developers
  */
@@ -168,17 +166,15 @@
 	}
 
 	/**
-	 * Handles a change of the serving view: sends groups whose owner no longer answers to
-	 * the next owner. An owner that is stopping completes the groups that it has.
+	 * Handles a change of the serving view: sends groups whose owner is no longer a live
+	 * peer to the next owner.
 	 */
 	public void onViewChanged() {
-		ServingView view = this.context.state().view();
-		Set<InstancePeer> answering = new HashSet<>(view.peers());
-		answering.addAll(view.leaving());
-		this.destinations.keySet().removeIf((id) -> answering.stream().noneMatch((peer) -> peer.id().equals(id)));
+		List<InstancePeer> peers = this.context.state().view().peers();
+		this.destinations.keySet().removeIf((id) -> peers.stream().noneMatch((peer) -> peer.id().equals(id)));
 		for (RemoteGroup group : new ArrayList<>(this.pending)) {
-			if (!answering.contains(group.owner)) {
-				group.failOver("no longer answers");
+			if (!peers.contains(group.owner)) {
+				group.failOver("no longer a live peer");
 			}
 		}
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/LocalPieceService.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/LocalPieceService.java
@@ -140,14 +140,6 @@
 		return (owned != null) ? owned.expectedWait(urgency) : Duration.ZERO;
 	}
 
-	/**
-	 * Returns whether any piece that was submitted has no result yet.
-	 * @return whether this instance has work to complete before it may end
-	 */
-	public boolean busy() {
-		return this.pools.values().stream().anyMatch(OwnedPool::busy);
-	}
-
 	/**
 	 * Handles a change of the serving view: sends waiting pieces to endpoints that became
 	 * usable.
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/OwnedPool.java
@@ -118,10 +118,6 @@
 		return () -> cancel(owned);
 	}
 
-	boolean busy() {
-		return !this.groups.isEmpty();
-	}
-
 	private Runnable refuse(PieceGroup group, PieceFailure why, Consumer<PieceGroupResult> done) {
 		done.accept(PieceGroupResult.failed(group, why, waitReport(group.urgency())));
 		return () -> {
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/ServingView.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/state/ServingView.java
@@ -21,19 +21,16 @@
  * @param endpoints all registered endpoints
  * @param evacuated the availability zones whose endpoints get no new requests
  * @param trials the newest rollout of each pool that has one
- * @param peers the other instances that are alive
- * @param leaving the other instances that answer and complete what they have begun, but
- * get nothing new, since they are stopping or have no configuration yet
+ * @param peers the other instances that are alive and accept new work
  * @param instances the number of instances that may be alive, this one included
  * @author the wagtailmux developers
  */
 public record ServingView(Optional<ServingConfiguration> configuration, Map<EndpointId, RegisteredEndpoint> endpoints,
-		Set<AvailabilityZoneId> evacuated, Map<PoolId, VersionTrial> trials, List<InstancePeer> peers,
-		List<InstancePeer> leaving, int instances) {
+		Set<AvailabilityZoneId> evacuated, Map<PoolId, VersionTrial> trials, List<InstancePeer> peers, int instances) {
 
 	/** View of an instance that has not read the store yet. */
 	public static final ServingView EMPTY = new ServingView(Optional.empty(), Map.of(), Set.of(), Map.of(), List.of(),
-			List.of(), 1);
+			1);
 
 	/**
 	 * Returns the rank of an instance for a key among the instances that are alive, in an
--- a/wagtailmux-engine/src/test/java/io/wagtailmux/engine/peer/EvidenceSenderTests.java
+++ b/wagtailmux-engine/src/test/java/io/wagtailmux/engine/peer/EvidenceSenderTests.java
@@ -94,7 +94,7 @@
 				(pool) -> null);
 		InstancePeer peer = new InstancePeer(new InstanceId("other"),
 				new InetSocketAddress(InetAddress.getLoopbackAddress(), port), zone, capacity);
-		state.updateView(new ServingView(Optional.empty(), Map.of(), Set.of(), Map.of(), List.of(peer), List.of(), 2));
+		state.updateView(new ServingView(Optional.empty(), Map.of(), Set.of(), Map.of(), List.of(peer), 2));
 		HttpClient client = new HttpClient(this.loop, TimeSource.system());
 		EngineContext context = new EngineContext(client, TimeSource.system(), state, null, null, zone,
 				new SplittableRandom(1), new EngineMetrics(new MetricRegistry()));
--- a/wagtailmux-engine/src/test/java/io/wagtailmux/engine/state/ServingStateTests.java
+++ b/wagtailmux-engine/src/test/java/io/wagtailmux/engine/state/ServingStateTests.java
@@ -68,7 +68,7 @@
 		RegisteredEndpoint endpoint = new RegisteredEndpoint(ENDPOINT, POOL, new InetSocketAddress("127.0.0.1", 1),
 				ZONE, new VersionId("v1"), 1, draining, Duration.ZERO, 1);
 		return new ServingView(Optional.of(configuration), Map.of(ENDPOINT, endpoint), Set.of(), Map.of(), List.of(),
-				List.of(), 1);
+				1);
 	}
 
 }
