Refuse no request for its stages' queue once anything was done for it

Callers of a stream that is resumed would have got the head of a 503 within their stream, or a 503 that says "not run" for a request that may have run: after a failed call the stages run again, and their first group could be refused as crowded, which ended the request without regard to what had been sent or had run.

Change: stages that run again state no longest wait, so that owners accept them; and a request that was at an endpoint ends as after any other failure of its stages. A method that was left over from a trial is taken out of PieceQueue.

Stage-, Stream-, ReplacedInstance-, NewInstance-, ChainPlan-, BatchPlanner- and PieceMessagesTests pass.

--- a/wagtailmux-decision/src/main/java/io/wagtailmux/decision/stage/PieceQueue.java
+++ b/wagtailmux-decision/src/main/java/io/wagtailmux/decision/stage/PieceQueue.java
@@ -63,20 +63,6 @@
 		return this.waiting.isEmpty();
 	}
 
-	/**
-	 * Returns how many of the pieces can still meet their target time.
-	 * @param now the elapsed time
-	 * @return the number
-	 */
-	int timely(Duration now) {
-		int timely = 0;
-		for (Lane lane : this.lanes.values()) {
-			lane.update(now);
-			timely += lane.timely.size();
-		}
-		return timely;
-	}
-
 	/**
 	 * Counts the pieces that would be sent before a new one.
 	 * @param piece the urgency of the new piece
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/Exchange.java
@@ -330,7 +330,7 @@
 		if (failure.get() == PieceFailure.INPUT_GONE && this.stages.runAgain()) {
 			return;
 		}
-		if (failure.get() == PieceFailure.CROWDED) {
+		if (failure.get() == PieceFailure.CROWDED && this.calls == 0) {
 			ChainPlan plan = this.planner.plan();
 			Admission admission = this.context.admission();
 			rejectAsCrowded(plan, admission.evaluate(plan, remainingTargetTime(), remainingTime())
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/RequestStages.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/forward/RequestStages.java
@@ -89,7 +89,7 @@
 		}
 		this.runs++;
 		StageRun run = new StageRun(this.context, this.route, this.request, this.priority, plan, this.target,
-				this.deadline, this.planner.homeZone(), this.suspect, this.done);
+				this.deadline, this.runs > 1, this.planner.homeZone(), this.suspect, this.done);
 		this.current = Optional.of(run);
 		run.start();
 	}
--- a/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/StageRun.java
+++ b/wagtailmux-engine/src/main/java/io/wagtailmux/engine/stage/StageRun.java
@@ -54,6 +54,8 @@
 
 	private final Duration deadline;
 
+	private final boolean again;
+
 	private final Optional<AvailabilityZoneId> home;
 
 	private final String suspect;
@@ -82,6 +84,8 @@
 	 * @param target the time by which the response should start, on the engine's clock
 	 * @param deadline the time after which the caller no longer waits, on the engine's
 	 * clock
+	 * @param again whether the stages ran before, so that the request is not refused
+	 * however long they wait
 	 * @param home the availability zone in which stages with large data should run; empty
 	 * if there is no preference
 	 * @param suspect the identity of the request as a suspect of crashes
@@ -90,7 +94,7 @@
 	 * {@link #release()}
 	 */
 	public StageRun(EngineContext context, Route route, CallerRequest request, int priority, ChainPlan plan,
-			Duration target, Duration deadline, Optional<AvailabilityZoneId> home, String suspect,
+			Duration target, Duration deadline, boolean again, Optional<AvailabilityZoneId> home, String suspect,
 			Consumer<Optional<PieceFailure>> done) {
 		this.context = context;
 		this.route = route;
@@ -99,6 +103,7 @@
 		this.plan = plan;
 		this.target = target;
 		this.deadline = deadline;
+		this.again = again;
 		this.home = home;
 		this.suspect = suspect;
 		this.done = done;
@@ -226,7 +231,7 @@
 	 * @return the longest wait; empty if it may wait as long as its result is useful
 	 */
 	private Optional<Duration> longestWait(int index, Duration now) {
-		boolean nothingDone = this.results.values().stream().allMatch(List::isEmpty);
+		boolean nothingDone = !this.again && this.results.values().stream().allMatch(List::isEmpty);
 		return nothingDone ? this.plan.longestWait(index, this.target.minus(now)) : Optional.empty();
 	}
 
