--- a/review/src-3/Bed.java
+++ b/review/src-3/Bed.java
@@ -370,6 +370,76 @@
 
 	}
 
+	/** Passes bytes between one instance and one worker, and can cut the two off from each other. */
+	static final class Proxy {
+
+		private final int target;
+
+		private final int port;
+
+		private volatile Server server;
+
+		Proxy(int target) throws IOException {
+			this.target = target;
+			this.server = new Server(0, this::serve);
+			this.port = this.server.port();
+		}
+
+		int port() {
+			return this.port;
+		}
+
+		/** Resets all channels and refuses new ones. */
+		void cut() throws IOException {
+			this.server.close();
+		}
+
+		void heal() throws IOException {
+			this.server = new Server(this.port, this::serve);
+		}
+
+		private void serve(Socket near) {
+			try (Socket far = new Socket(LOOPBACK, this.target)) {
+				far.setTcpNoDelay(true);
+				Thread back = new Thread(() -> copy(far, near));
+				back.setDaemon(true);
+				back.start();
+				copy(near, far);
+				back.join();
+			}
+			catch (IOException | InterruptedException ex) {
+				reset(near);
+			}
+		}
+
+		private static void copy(Socket from, Socket to) {
+			byte[] buffer = new byte[16_384];
+			try {
+				int count = from.getInputStream().read(buffer);
+				while (count >= 0) {
+					to.getOutputStream().write(buffer, 0, count);
+					count = from.getInputStream().read(buffer);
+				}
+				to.shutdownOutput();
+			}
+			catch (IOException ex) {
+				reset(from);
+				reset(to);
+			}
+		}
+
+		private static void reset(Socket socket) {
+			try {
+				socket.setSoLinger(true, 0);
+				socket.close();
+			}
+			catch (IOException ex) {
+				// Closed already.
+			}
+		}
+
+	}
+
 	static void write(Socket socket, String head, byte[] body) throws IOException {
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
 		bytes.writeBytes((head + "Content-Length: " + body.length + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
@@ -401,7 +471,12 @@
 		};
 
 		Store() throws IOException {
-			this.server = new Server(0, this::serve);
+			this.server = new Server(0, (socket) -> serve(socket, (entry) -> entry));
+		}
+
+		/** Opens a further port, at which the entries of workers are shown as the function returns them. */
+		int portShowing(UnaryOperator<String> entries) throws IOException {
+			return new Server(0, (socket) -> serve(socket, entries)).port();
 		}
 
 		int port() {
@@ -444,14 +519,19 @@
 			return number;
 		}
 
-		private void serve(Socket socket) {
+		private void serve(Socket socket, UnaryOperator<String> entries) {
 			try {
 				InputStream input = new BufferedInputStream(socket.getInputStream());
 				Http.Message request = Http.read(input, false);
 				while (request != null) {
 					String[] words = request.start().split(" ");
-					this.before.accept(words[1]);
-					answer(socket, words[1], request);
+					try {
+						this.before.accept(words[1]);
+						answer(socket, words[1], request, entries);
+					}
+					catch (Refused ex) {
+						write(socket, "HTTP/1.1 " + ex.status + " X\r\nStore-Era: " + this.era + "\r\n", new byte[0]);
+					}
 					request = Http.read(input, false);
 				}
 			}
@@ -460,16 +540,17 @@
 			}
 		}
 
-		private void answer(Socket socket, String target, Http.Message request) throws IOException {
+		private void answer(Socket socket, String target, Http.Message request, UnaryOperator<String> entries)
+				throws IOException {
 			URI uri = URI.create(target);
 			Map<String, String> query = query(uri.getRawQuery());
 			int status = 200;
 			String body;
 			if (uri.getPath().equals("/v1/rows-get")) {
-				body = get(query);
+				body = get(query, entries);
 			}
 			else if (uri.getPath().equals("/v1/rows-feed")) {
-				body = feed(query);
+				body = feed(query, entries);
 				status = (body == null) ? 410 : 200;
 			}
 			else if (uri.getPath().equals("/v1/rows-tx")) {
@@ -485,16 +566,16 @@
 					((body == null) ? "{}" : body).getBytes(StandardCharsets.UTF_8));
 		}
 
-		private synchronized String get(Map<String, String> query) {
+		private synchronized String get(Map<String, String> query, UnaryOperator<String> entries) {
 			String from = query.getOrDefault("from", "");
 			int limit = Math.min(500, Integer.parseInt(query.getOrDefault("limit", "500")));
 			List<Row> rows = new ArrayList<>(
 					this.tables.getOrDefault(query.get("table"), new TreeMap<>()).tailMap(from, true).values());
 			boolean more = rows.size() > limit;
-			return body(rows.subList(0, Math.min(limit, rows.size())), more);
+			return body(rows.subList(0, Math.min(limit, rows.size())), more, entries);
 		}
 
-		private synchronized String feed(Map<String, String> query) {
+		private synchronized String feed(Map<String, String> query, UnaryOperator<String> entries) {
 			long after = Long.parseLong(query.get("after"));
 			long until = System.nanoTime() + Long.parseLong(query.getOrDefault("waitMs", "0")) * 1_000_000;
 			while (true) {
@@ -506,7 +587,7 @@
 					.toList();
 				long left = (until - System.nanoTime()) / 1_000_000;
 				if (!rows.isEmpty() || left <= 0) {
-					return body(rows, false);
+					return body(rows, false, entries);
 				}
 				try {
 					wait(left);
@@ -517,19 +598,27 @@
 			}
 		}
 
-		private String body(List<Row> rows, boolean more) {
+		private String body(List<Row> rows, boolean more, UnaryOperator<String> entries) {
 			StringBuilder text = new StringBuilder("{\"rows\":[");
 			String separator = "";
 			for (Row row : rows) {
 				text.append(separator).append("{\"table\":\"").append(row.table()).append("\",\"part\":\"\",\"key\":\"")
 					.append(row.key()).append("\",\"rowVersion\":").append(row.version());
-				text.append(row.deleted() ? ",\"deleted\":true}" : ",\"value\":\"" + row.value() + "\"}");
+				text.append(row.deleted() ? ",\"deleted\":true}" : ",\"value\":\"" + shown(row, entries) + "\"}");
 				separator = ",";
 			}
 			return text.append("],\"rowVersion\":").append(this.version).append(",\"nowMs\":")
 				.append(System.nanoTime() / 1_000_000).append(",\"hasMore\":").append(more).append("}").toString();
 		}
 
+		private String shown(Row row, UnaryOperator<String> entries) {
+			if (!row.table().equals("servers")) {
+				return row.value();
+			}
+			String entry = new String(Base64.getDecoder().decode(row.value()), StandardCharsets.UTF_8);
+			return Base64.getEncoder().encodeToString(entries.apply(entry).getBytes(StandardCharsets.UTF_8));
+		}
+
 		/** Reads the one form of transaction that an instance sends: one condition and one write or removal. */
 		private synchronized String[] transaction(String json) {
 			String condition = part(json, "\"expectedRevision\":[");
@@ -540,11 +629,11 @@
 			long expected = Long.parseLong(field(condition, "rowVersion"));
 			Row present = this.tables.getOrDefault(table, new TreeMap<>()).get(key);
 			if (((present == null) ? 0 : present.version()) != expected) {
-				return new String[] { "412", body((present == null) ? List.of() : List.of(present), false) };
+				return new String[] { "412", body((present == null) ? List.of() : List.of(present), false, (entry) -> entry) };
 			}
 			boolean deleted = writes.isEmpty() && !removals.isEmpty();
 			apply(table, key, deleted ? "" : field(writes, "value"), deleted, ++this.version);
-			return new String[] { "200", body(List.of(), false) };
+			return new String[] { "200", body(List.of(), false, (entry) -> entry) };
 		}
 
 		private static String part(String json, String name) {
@@ -564,6 +653,17 @@
 
 	}
 
+	/** The store refuses a call: nothing was done. */
+	static final class Refused extends RuntimeException {
+
+		final int status;
+
+		Refused(int status) {
+			this.status = status;
+		}
+
+	}
+
 	static Map<String, String> query(String text) {
 		Map<String, String> values = new HashMap<>();
 		for (String pair : (text == null) ? new String[0] : text.split("&")) {
@@ -626,11 +726,10 @@
 			this.server.close();
 		}
 
-		/** Starts the worker again at its address and under its id. */
-		void restart(int port) throws IOException {
+		/** Starts the worker again at its address and under its id; it does not register yet. */
+		void listenAgain(int port) throws IOException {
 			this.born = System.currentTimeMillis();
 			this.server = new Server(port, this::serve);
-			register("ready", 0);
 		}
 
 		private void serve(Socket socket) {
