--- a/review/src-3/Bed.java
+++ b/review/src-3/Bed.java
@@ -700,7 +700,14 @@
 		/** Milliseconds at which requests reached the worker, with their attempt ids. */
 		final Map<String, Double> reached = new ConcurrentHashMap<>();
 
+		final String version;
+
 		Worker(String id, String service, String zone, int slots, Work work) throws IOException {
+			this(id, service, zone, slots, "v1", work);
+		}
+
+		Worker(String id, String service, String zone, int slots, String version, Work work) throws IOException {
+			this.version = version;
 			this.id = id;
 			this.service = service;
 			this.zone = zone;
@@ -716,9 +723,9 @@
 
 		long register(String state, long coldMillis) {
 			return Bed.this.store.put("servers", this.id, String.format(Locale.ROOT,
-					"{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%d,"
+					"{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"%s\",\"version\":\"%s\",\"slots\":%d,"
 							+ "\"state\":\"%s\",\"coldRemainingMs\":%d,\"sequence\":1,\"born\":%d}",
-					this.service, LOOPBACK, port(), this.zone, this.slots, state, coldMillis, this.born));
+					this.service, LOOPBACK, port(), this.zone, this.version, this.slots, state, coldMillis, this.born));
 		}
 
 		/** Ends the process of the worker. */
