--- a/review/src-3/Bed.java
+++ b/review/src-3/Bed.java
@@ -74,6 +74,7 @@
 
 	private void killAll() {
 		this.instances.forEach(Instance::kill);
+		keepLogs();
 		try (var files = Files.walk(this.folder)) {
 			files.sorted(Comparator.reverseOrder()).forEach((file) -> file.toFile().delete());
 		}
@@ -82,6 +83,19 @@
 		}
 	}
 
+	/** Copies the logs of the instances to the folder that the property names, if it is set. */
+	private void keepLogs() {
+		String kept = System.getProperty("logs");
+		for (Instance instance : (kept == null) ? List.<Instance>of() : this.instances) {
+			try {
+				Files.copy(instance.log, Path.of(kept, instance.name + ".log"), StandardCopyOption.REPLACE_EXISTING);
+			}
+			catch (IOException ex) {
+				// Copied already, or nothing was written.
+			}
+		}
+	}
+
 	@Override
 	public void close() {
 		killAll();
@@ -466,6 +480,17 @@
 
 		final Server server;
 
+		/** Instances whose first read of the table of instances is still awaited. */
+		private CountDownLatch firstReads = new CountDownLatch(0);
+
+		/**
+		 * Answers the first read of the table of instances of so many instances at the same time, before any of them
+		 * has written its row. So each starts from its own view of the store and none from the tables of another.
+		 */
+		void startTogether(int count) {
+			this.firstReads = new CountDownLatch(count);
+		}
+
 		/** Called with path and query before an answer is made; may wait. */
 		volatile Consumer<String> before = (call) -> {
 		};
@@ -546,7 +571,11 @@
 			Map<String, String> query = query(uri.getRawQuery());
 			int status = 200;
 			String body;
-			if (uri.getPath().equals("/v1/rows-get")) {
+			if (this.firstReads.getCount() > 0 && target.contains("rows-get") && "instances".equals(query.get("table"))) {
+				body = body(List.of(), false, entries);
+				awaitFirstReads();
+			}
+			else if (uri.getPath().equals("/v1/rows-get")) {
 				body = get(query, entries);
 			}
 			else if (uri.getPath().equals("/v1/rows-feed")) {
@@ -566,6 +595,16 @@
 					((body == null) ? "{}" : body).getBytes(StandardCharsets.UTF_8));
 		}
 
+		private void awaitFirstReads() {
+			this.firstReads.countDown();
+			try {
+				this.firstReads.await(1500, TimeUnit.MILLISECONDS);
+			}
+			catch (InterruptedException ex) {
+				throw new IllegalStateException(ex);
+			}
+		}
+
 		private synchronized String get(Map<String, String> query, UnaryOperator<String> entries) {
 			String from = query.getOrDefault("from", "");
 			int limit = Math.min(500, Integer.parseInt(query.getOrDefault("limit", "500")));
--- a/review/src-3/CutAnswers.java
+++ b/review/src-3/CutAnswers.java
@@ -64,6 +64,7 @@
 			}
 			return entry;
 		});
+		bed.store.startTogether(3);
 		List<Bed.Instance> instances = List.of(bed.startInstance("front-a-1", "zone-a", storePort),
 				bed.startInstance("front-a-2", "zone-a", bed.store.port()),
 				bed.startInstance("front-b-1", "zone-b", bed.store.port()));
