--- a/review/src-3/ColdReturn.java
+++ b/review/src-3/ColdReturn.java
@@ -28,7 +28,7 @@
 	static final int CALLERS = 24;
 
 	/** Pause of each caller between two requests. */
-	static final int PAUSE_MILLIS = 170;
+	static final int PAUSE_MILLIS = 140;
 
 	static final int WORK_MILLIS = 40;
 
@@ -158,7 +158,10 @@
 		finally {
 			slots.release();
 		}
-		worker.answer(socket, request.header("Wagtailmux-Attempt-Id"), 200, "", "ok".getBytes());
+		worker.answer(socket, request.header("Wagtailmux-Attempt-Id"), 200,
+				"Wagtailmux-Server-Load: " + (worker.slots - slots.availablePermits()) + "," + slots.getQueueLength() + ","
+						+ worker.slots + "\r\n",
+				"ok".getBytes());
 	}
 
 	private static void caller(Bed bed, Bed.Instance instance, String name, AtomicBoolean ended) {
