--- a/review/src-3/Bed.java
+++ b/review/src-3/Bed.java
@@ -101,10 +101,17 @@
 		killAll();
 	}
 
+	/** Returns a port that is free and isn't given to outgoing channels, which begin at 32768 on Linux. */
 	static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket()) {
-			socket.bind(new InetSocketAddress(LOOPBACK, 0));
-			return socket.getLocalPort();
+		while (true) {
+			int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
+			try (ServerSocket socket = new ServerSocket()) {
+				socket.bind(new InetSocketAddress(LOOPBACK, port));
+				return port;
+			}
+			catch (BindException ex) {
+				// Taken; another one is tried.
+			}
 		}
 	}
 
@@ -337,7 +344,7 @@
 		Server(int port, Consumer<Socket> handler) throws IOException {
 			this.listener = new ServerSocket();
 			this.listener.setReuseAddress(true);
-			this.listener.bind(new InetSocketAddress(LOOPBACK, port), 512);
+			this.listener.bind(new InetSocketAddress(LOOPBACK, (port == 0) ? freePort() : port), 512);
 			daemon(() -> {
 				while (!this.listener.isClosed()) {
 					try {
