--- a/review/src-3/Bed.java
+++ b/review/src-3/Bed.java
@@ -66,12 +66,27 @@
 
 	/** Ends the process with the result of the case. */
 	void exit(int code) {
+		if (code == 2) {
+			this.instances.forEach(this::logEnd);
+		}
 		log("exit %d", code);
 		killAll();
 		this.record.flush();
 		Runtime.getRuntime().halt(code);
 	}
 
+	/** Records the last lines that an instance wrote. */
+	private void logEnd(Instance instance) {
+		try {
+			List<String> lines = instance.output().lines().toList();
+			lines.subList(Math.max(0, lines.size() - 5), lines.size())
+				.forEach((line) -> log("%s, alive %s: %s", instance.name, instance.process.isAlive(), line));
+		}
+		catch (IOException ex) {
+			log("%s: %s", instance.name, ex);
+		}
+	}
+
 	private void killAll() {
 		this.instances.forEach(Instance::kill);
 		keepLogs();
@@ -101,10 +116,15 @@
 		killAll();
 	}
 
-	/** Returns a port that is free and isn't given to outgoing channels, which begin at 32768 on Linux. */
+	private static final Set<Integer> GIVEN_PORTS = ConcurrentHashMap.newKeySet();
+
+	/** Returns a new port that is free and isn't given to outgoing channels, which begin at 32768 on Linux. */
 	static int freePort() throws IOException {
 		while (true) {
 			int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
+			if (!GIVEN_PORTS.add(port)) {
+				continue;
+			}
 			try (ServerSocket socket = new ServerSocket()) {
 				socket.bind(new InetSocketAddress(LOOPBACK, port));
 				return port;
