--- a/review/src-3/BadVersion.java
+++ b/review/src-3/BadVersion.java
@@ -43,7 +43,7 @@
 			clock = bed;
 			run(bed);
 		}
-		catch (Exception ex) {
+		catch (Throwable ex) {
 			ex.printStackTrace();
 			System.exit(2);
 		}
--- a/review/src-3/Bed.java
+++ b/review/src-3/Bed.java
@@ -15,6 +15,9 @@
 
 	static final String LOOPBACK = "127.0.0.1";
 
+	/** A case that takes longer could not be played. */
+	private static final long LONGEST_RUN_MILLIS = 110_000;
+
 	private final long startedAt = System.nanoTime();
 
 	private final PrintWriter record;
@@ -32,6 +35,10 @@
 		this.folder = Files.createTempDirectory("review");
 		this.store = new Store();
 		Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
+		daemon(() -> {
+			sleep(LONGEST_RUN_MILLIS);
+			exit(2);
+		});
 	}
 
 	/** Whether the case runs with its disruption; TROUBLE=0 turns it off. */
--- a/review/src-3/Brittle.java
+++ b/review/src-3/Brittle.java
@@ -68,7 +68,7 @@
 			clock = bed;
 			run(bed);
 		}
-		catch (Exception ex) {
+		catch (Throwable ex) {
 			ex.printStackTrace();
 			System.exit(2);
 		}
--- a/review/src-3/ColdReturn.java
+++ b/review/src-3/ColdReturn.java
@@ -41,7 +41,7 @@
 		try (Bed bed = new Bed()) {
 			run(bed);
 		}
-		catch (Exception ex) {
+		catch (Throwable ex) {
 			ex.printStackTrace();
 			System.exit(2);
 		}
--- a/review/src-3/CrashAtCut.java
+++ b/review/src-3/CrashAtCut.java
@@ -49,7 +49,7 @@
 			clock = bed;
 			run(bed);
 		}
-		catch (Exception ex) {
+		catch (Throwable ex) {
 			ex.printStackTrace();
 			System.exit(2);
 		}
--- a/review/src-3/CutAnswers.java
+++ b/review/src-3/CutAnswers.java
@@ -32,7 +32,7 @@
 		try (Bed bed = new Bed()) {
 			run(bed);
 		}
-		catch (Exception ex) {
+		catch (Throwable ex) {
 			ex.printStackTrace();
 			System.exit(2);
 		}
